--- /dev/null
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/books.py
@@ -0,0 +1,174 @@
+"""What the planner knows, and the small changes that keep it consistent."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from .advice import AdviceDesk
+from .effects import Note, Stop
+from .fleet import Worker
+from .jobs import FINAL_STATES, JobState, TaskState, find_ready_steps
+from .ledger import Ledger
+from .rules import Rules
+
+if TYPE_CHECKING:
+    from ..resources import Resources
+    from .effects import Effect
+    from .jobs import Job, Occurrence, StepRun, Task
+    from .rules import Queue
+    from .specs import StepId
+
+TOKENS_PER_TERM = 256
+"""Fencing tokens of one planner for one worker: one for each incarnation it sees."""
+
+
+@dataclass(frozen=True, slots=True)
+class PlannerSettings:
+    """Bounds that the platform sets.
+
+    :param term: number of this planner's election; rises with each
+    :param lease_s: seconds that work goes on without word from the planner
+    :param status_s: seconds that the final state of a job is kept
+    """
+
+    term: int
+    lease_s: float
+    status_s: float
+
+
+class Books:
+    """State of the planner."""
+
+    def __init__(self, settings: PlannerSettings) -> None:
+        self.settings = settings
+        self.rules = Rules()
+        self.queue_by_name: dict[str, Queue] = {}
+        """Queues of this and earlier configurations: accepted jobs outlive a queue."""
+        self.zones_out: frozenset[str] = frozenset()
+        self.job_by_id: dict[str, Job] = {}
+        self.worker_by_id: dict[str, Worker] = {}
+        self.ready_by_id: dict[StepId, StepRun] = {}
+        self.timed_by_id: dict[str, Job] = {}
+        self.usage_by_tenant: dict[str, list[int]] = {}
+        self.unsure: dict[tuple[str, int, int, int], Task] = {}
+        self.desk = AdviceDesk()
+        self.ledger = Ledger()
+        self.effects: list[Effect] = []
+        self.counters: Counter[str] = Counter()
+        self.wall_ms = 0
+        self.needs_pass = True
+
+    def note(self, kind: str, **fields: Any) -> None:
+        """Write a line of the log."""
+        self.counters[kind] += 1
+        self.effects.append(Note(kind, fields))
+
+    def find_worker(self, worker_id: str) -> Worker:
+        """Return a worker, known or new."""
+        worker = self.worker_by_id.get(worker_id)
+        if worker is None:
+            token = self.settings.term * TOKENS_PER_TERM
+            worker = Worker(worker_id, token)
+            self.worker_by_id[worker_id] = worker
+        return worker
+
+    # Room and limits
+
+    def place(self, task: Task, worker: Worker) -> None:
+        """Count a task against its worker and its client account."""
+        spec = task.step.spec
+        task.worker = worker.id
+        task.life = worker.life
+        worker.task_by_id[task.id] = task
+        worker.reserve(spec.size, spec.fills)
+        self._use(task, 1)
+
+    def release(self, task: Task) -> None:
+        """Return the room of a task whose run is over for certain."""
+        worker = self.worker_by_id.get(task.worker)
+        if worker is not None and worker.task_by_id.pop(task.id, None) is not None:
+            worker.release(task.step.spec.size, task.step.spec.fills)
+            self._use(task, -1)
+        task.worker = ""
+        task.is_unsure = False
+        task.is_stopping = False
+        task.barred_at = float("inf")
+        self.unsure.pop(task.id, None)
+        self.needs_pass = True
+
+    def _use(self, task: Task, sign: int) -> None:
+        size = task.step.spec.size
+        tenant = task.step.occurrence.job.spec.tenant
+        usage = self.usage_by_tenant.setdefault(tenant, [0, 0, 0])
+        usage[0] += sign * size.processors
+        usage[1] += sign * size.memory
+        usage[2] += sign * size.accelerators
+
+    def count_allowed(self, tenant: str, size: Resources) -> int:
+        """Return how many more tasks of a size a client account may run."""
+        account = self.rules.tenant_by_name.get(tenant)
+        if account is None:
+            return 1 << 30
+        used = self.usage_by_tenant.get(tenant, [0, 0, 0])
+        limit = account.limit
+        rows = (
+            (limit.processors, used[0], size.processors),
+            (limit.memory, used[1], size.memory),
+            (limit.accelerators, used[2], size.accelerators),
+        )
+        allowed = 1 << 30
+        for most, taken, each in rows:
+            if most and each:
+                allowed = min(allowed, max(0, most - taken) // each)
+        return allowed
+
+    # Tasks and jobs
+
+    def change(self, occurrence: Occurrence) -> None:
+        """Store the occurrence with the next batch."""
+        key = (occurrence.job.spec.id, occurrence.index)
+        self.ledger.pending.occurrences[key] = occurrence
+
+    def requeue(self, task: Task) -> None:
+        """Let a task be placed again, unless its job is over or it is done."""
+        self.release(task)
+        if task.state is not TaskState.DONE:
+            task.state = TaskState.WAITING
+        if not task.step.occurrence.job.is_over:
+            self.change(task.step.occurrence)
+
+    def stop(self, task: Task) -> None:
+        """Order the worker of a placed task to stop it."""
+        worker = self.worker_by_id.get(task.worker)
+        if worker is None or worker.entry is None:
+            return
+        task.is_stopping = True
+        address = worker.entry.address
+        self.effects.append(Stop(worker.id, address, worker.token, task.id, task.run))
+
+    def open_steps(self, occurrence: Occurrence) -> None:
+        """Offer the steps whose turn has come."""
+        for step in find_ready_steps(occurrence):
+            self.ready_by_id.setdefault(step.id, step)
+        self.needs_pass = True
+
+    def close_step(self, step: StepRun) -> None:
+        """Offer a step no longer."""
+        self.ready_by_id.pop(step.id, None)
+        self.desk.forget(step.id)
+
+    def finish(self, job: Job, outcome: JobState, now: float) -> None:
+        """Decide a job's final state, and stop what runs."""
+        if job.outcome in FINAL_STATES:
+            return
+        job.outcome = outcome
+        job.final_at = now
+        self.timed_by_id.pop(job.spec.id, None)
+        self.ledger.pending.jobs[job.spec.id] = job
+        for occurrence in job.occurrences.values():
+            self.change(occurrence)
+            for step in occurrence.steps:
+                self.close_step(step)
+        self.note("job_ended", job=job.spec.id, outcome=outcome.value)
--- /dev/null
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
@@ -0,0 +1,128 @@
+"""Election of the planner through conditional appends to one log.
+
+Each record names a member. The newest claim that was not released names the planner;
+its offset is the number of its term. A member claims at the end that it has read, so of
+several claims one is appended. The planner renews its claim; another member claims only
+after it has read without a break, and without a renewal, for longer than the planner
+trusts its own last renewal.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+CLAIM_AFTER_S = 1.8
+"""Seconds without a renewal after which a claim may be tried: three renewals."""
+
+AUTHORITY_S = 1.5
+"""Seconds after a renewal was sent for which the planner counts on it: less than
+``CLAIM_AFTER_S`` by more than clocks differ and timers are late."""
+
+RENEW_S = 0.6
+"""Seconds between two renewals."""
+
+READ_WAIT_S = 0.7
+"""Seconds that a read waits for a record: a little longer than between two renewals."""
+
+READ_GAP_S = 1.6
+"""Seconds without an answer after which the reading has a break."""
+
+
+class Act(Enum):
+    """What a record of the election says."""
+
+    CLAIM = "claim"
+    RENEW = "renew"
+    RELEASE = "release"
+
+
+@dataclass(frozen=True, slots=True)
+class ElectionRecord:
+    """One record of the election.
+
+    :param member: incarnation that wrote it
+    :param address: where it takes streams from other members
+    """
+
+    act: Act
+    member: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class Term:
+    """The time in which one member plans.
+
+    :param number: rises with each term
+    """
+
+    number: int
+    member: str
+    address: str
+
+
+class Election:
+    """What one member has read of the election, and what it may do."""
+
+    def __init__(self, member: str, address: str) -> None:
+        self.member = member
+        self.address = address
+        self.end = 0
+        """Offset behind the last record that was read."""
+        self.term: Term | None = None
+        self._answered_at = float("-inf")
+        self._quiet_since = float("inf")
+        self._renewed_at = float("-inf")
+
+    @property
+    def is_planner(self) -> bool:
+        """Whether the newest claim is this member's."""
+        return self.term is not None and self.term.member == self.member
+
+    def on_read(
+        self, records: list[tuple[int, ElectionRecord | None]], end: int, now: float
+    ) -> None:
+        """Take over what was read.
+
+        :param records: offset and record; None for one that can't be read
+        :param end: offset behind the last one
+        """
+        if now - self._answered_at > READ_GAP_S:
+            self._quiet_since = now
+        self._answered_at = now
+        for offset, record in records:
+            if offset >= self.end and record is not None:
+                self._reduce(offset, record)
+        if records:
+            self._quiet_since = now
+        self.end = max(self.end, end)
+
+    def _reduce(self, offset: int, record: ElectionRecord) -> None:
+        if record.act is Act.CLAIM:
+            self.term = Term(offset + 1, record.member, record.address)
+            return
+        is_holder = self.term is not None and record.member == self.term.member
+        if is_holder and record.act is Act.RELEASE:
+            self.term = None
+
+    def may_claim(self, now: float) -> bool:
+        """Whether no planner has been heard of for long enough."""
+        if self.is_planner or now - self._answered_at > READ_GAP_S:
+            return False
+        return self.term is None or now - self._quiet_since >= CLAIM_AFTER_S
+
+    def on_claimed(self, offset: int, sent_at: float) -> None:
+        """Note that this member's claim was appended."""
+        self._reduce(offset, ElectionRecord(Act.CLAIM, self.member, self.address))
+        self.end = max(self.end, offset + 1)
+        self._renewed_at = sent_at
+
+    def on_renewed(self, offset: int, sent_at: float) -> None:
+        """Note that a renewal was appended."""
+        self.end = max(self.end, offset + 1)
+        self._renewed_at = max(self._renewed_at, sent_at)
+
+    def has_authority(self, now: float) -> bool:
+        """Whether no other member can have claimed yet."""
+        return self.is_planner and now - self._renewed_at < AUTHORITY_S
--- /dev/null
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/intake.py
@@ -0,0 +1,137 @@
+"""Jobs handed in, cancelled and asked about."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .effects import Reply
+from .fleet import fits_when_empty
+from .jobs import FINAL_STATES, Job, JobState, TaskState
+
+if TYPE_CHECKING:
+    from .books import Books
+    from .events import CancelRequested, JobSubmitted
+    from .specs import JobSpec
+
+OK = 200
+BAD_REQUEST = 400
+GONE = 410
+UNAVAILABLE = 503
+
+RETRY_STORE_S = 1
+"""Seconds to come back after while the store is unreachable; its outages are short."""
+
+EARLY_S = 0.1
+"""Seconds by which an occurrence may start before its time: well within the bound."""
+
+
+class Intake:
+    """Decides which jobs are accepted, and answers once that is stored."""
+
+    def __init__(self, books: Books) -> None:
+        self._books = books
+
+    def on_submitted(self, event: JobSubmitted) -> None:
+        """Accept a job, or refuse it; a known id remains one job."""
+        books = self._books
+        spec = event.job
+        if spec.id in books.job_by_id:
+            books.note("job_repeated", job=spec.id)
+            self._reply_stored(spec.id, event.call)
+            return
+        if books.ledger.is_stalled(event.now):
+            books.note("job_refused", job=spec.id, reason="store unreachable")
+            reason = "the store can't be written; the job was not accepted"
+            books.effects.append(Reply(event.call, UNAVAILABLE, reason, RETRY_STORE_S))
+            return
+        problem = self._find_misfit(spec)
+        if problem:
+            books.note("job_refused", job=spec.id, reason=problem)
+            books.effects.append(Reply(event.call, BAD_REQUEST, problem))
+            return
+        job = Job(spec)
+        books.job_by_id[spec.id] = job
+        books.ledger.pending.jobs[spec.id] = job
+        books.ledger.pending.replies.append(Reply(event.call, OK))
+        books.note(
+            "job_accepted", job=spec.id, queue=spec.queue, rules=books.rules.version
+        )
+        self.open(job)
+
+    def _reply_stored(self, job_id: str, call: int) -> None:
+        books = self._books
+        if books.job_by_id[job_id].is_stored:
+            books.effects.append(Reply(call, OK))
+        else:
+            books.ledger.pending.replies.append(Reply(call, OK))
+
+    def _find_misfit(self, spec: JobSpec) -> str:
+        queue = self._books.queue_by_name.get(spec.queue)
+        entries = [
+            worker.entry
+            for worker in self._books.worker_by_id.values()
+            if worker.entry and queue and worker.entry.service == queue.service
+        ]
+        if not entries:
+            return ""
+        for number, step in enumerate(spec.steps):
+            if not any(fits_when_empty(step.size, e, step.fills) for e in entries):
+                return f"no worker is large enough for a task of step {number}"
+        return ""
+
+    def open(self, job: Job) -> None:
+        """Create what may start now, or wait for the times of occurrences."""
+        if job.spec.is_timed:
+            self._books.timed_by_id[job.spec.id] = job
+            self.open_due(job)
+            return
+        occurrence = job.occurrences.get(0) or job.add_occurrence(0)
+        self._books.open_steps(occurrence)
+
+    def open_due(self, job: Job) -> None:
+        """Create the occurrences whose time has come."""
+        spec = job.spec
+        while job.created < spec.occurrences:
+            due_ms = spec.first_due_ms + job.created * spec.period_ms
+            if due_ms > self._books.wall_ms + EARLY_S * 1000:
+                return
+            self._books.open_steps(job.add_occurrence(job.created))
+
+    def on_cancel(self, event: CancelRequested) -> None:
+        """Cancel a job; what runs is stopped once that is stored."""
+        books = self._books
+        job = books.job_by_id.get(event.job)
+        if job is None:
+            books.effects.append(Reply(event.call, GONE))
+            return
+        books.note("job_cancelled", job=event.job, was=job.shown.value)
+        if job.outcome in FINAL_STATES:
+            if job.is_final_stored:
+                books.effects.append(Reply(event.call, OK))
+            else:
+                books.ledger.pending.replies.append(Reply(event.call, OK))
+            return
+        books.finish(job, JobState.CANCELLED, event.now)
+        books.ledger.pending.replies.append(Reply(event.call, OK))
+
+    def count_waiting(self, queue: str) -> int:
+        """Return how many accepted jobs of a queue have not begun."""
+        return sum(
+            1
+            for job in self._books.job_by_id.values()
+            if job.spec.queue == queue and job.outcome is None and not job.has_started
+        )
+
+    def check_finished(self, job: Job, now: float) -> None:
+        """Complete a job whose occurrences are all done."""
+        times = max(1, job.spec.occurrences)
+        if job.created < times:
+            return
+        if all(occurrence.is_done for occurrence in job.occurrences.values()):
+            self._books.finish(job, JobState.COMPLETED, now)
+
+    def stop_tasks(self, job: Job) -> None:
+        """Stop every run of a job that is over."""
+        for task in job.tasks():
+            if task.worker and task.state is not TaskState.DONE:
+                self._books.stop(task)
--- /dev/null
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/ledger.py
@@ -0,0 +1,102 @@
+"""Batches of records: what may happen once the store has them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from .effects import Store
+from .records import drop, encode_job, encode_occurrence
+
+if TYPE_CHECKING:
+    from .effects import Reply
+    from .jobs import Job, Occurrence, Task
+    from .records import Record
+
+FLUSH_INTERVAL_S = 0.02
+"""Seconds between two batches: groups the records of a few events."""
+
+STALL_S = 1.0
+"""Seconds without an acknowledgement after which the store counts as unreachable."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoredEnd:
+    """An end whose effect is in a batch."""
+
+    worker: str
+    life: int
+    number: int
+
+
+@dataclass(slots=True)
+class Batch:
+    """Changes that are stored together, and what follows from them."""
+
+    number: int
+    sent_at: float = 0.0
+    jobs: dict[str, Job] = field(default_factory=dict)
+    occurrences: dict[tuple[str, int], Occurrence] = field(default_factory=dict)
+    dropped: list[str] = field(default_factory=list)
+    starts: list[tuple[Task, int]] = field(default_factory=list)
+    replies: list[Reply] = field(default_factory=list)
+    ends: list[StoredEnd] = field(default_factory=list)
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing needs to be stored or told."""
+        return not (
+            self.jobs
+            or self.occurrences
+            or self.dropped
+            or self.starts
+            or self.replies
+            or self.ends
+        )
+
+    def encode(self) -> tuple[Record, ...]:
+        """Return the records of everything that changed."""
+        records = [encode_job(job) for job in self.jobs.values()]
+        for (job_id, index), occurrence in self.occurrences.items():
+            if occurrence.job.is_over:
+                self.dropped.append(f"{job_id}.{index}")
+            else:
+                records.append(encode_occurrence(occurrence))
+        records += [drop(key) for key in dict.fromkeys(self.dropped)]
+        return tuple(records)
+
+
+class Ledger:
+    """One batch in flight, and one that grows."""
+
+    def __init__(self) -> None:
+        self.pending = Batch(1)
+        self.in_flight: Batch | None = None
+        self.flush_due = 0.0
+
+    def is_stalled(self, now: float) -> bool:
+        """Whether the store has left a batch unanswered for long."""
+        return self.in_flight is not None and now - self.in_flight.sent_at > STALL_S
+
+    def may_flush(self, now: float) -> bool:
+        """Whether a batch may leave."""
+        return self.in_flight is None and now >= self.flush_due
+
+    def flush(self, now: float) -> Store | None:
+        """Send the pending batch, if it holds anything."""
+        if self.pending.is_empty:
+            return None
+        batch = self.pending
+        batch.sent_at = now
+        self.in_flight = batch
+        self.pending = Batch(batch.number + 1)
+        self.flush_due = now + FLUSH_INTERVAL_S
+        return Store(batch.number, batch.encode())
+
+    def on_stored(self, number: int) -> Batch | None:
+        """Return the batch in flight if it is the one acknowledged."""
+        batch = self.in_flight
+        if batch is None or batch.number != number:
+            return None
+        self.in_flight = None
+        return batch
--- /dev/null
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
@@ -0,0 +1,214 @@
+"""The reducer of the elected planner: events in, effects out."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from . import events
+from .advice import Ticket
+from .books import Books, PlannerSettings
+from .fleet import CLOCK_RATE_ERROR
+from .intake import Intake
+from .jobs import TaskState
+from .placing import Placing
+from .records import load_jobs
+from .runs import Runs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .effects import Effect
+    from .events import Event
+    from .ledger import Batch
+
+STATUS_MARGIN_S = 60.0
+"""Seconds beyond the promised time for which final states are kept."""
+
+FENCE_DELAY_S = 2.5
+"""Seconds for which an earlier planner may renew leases before a fence stops it."""
+
+TICK_S = 0.05
+"""Seconds between two ticks: bounds the delay of retries and due times."""
+
+
+class Planner:
+    """Decides where and when every task runs."""
+
+    def __init__(self, settings: PlannerSettings) -> None:
+        books = Books(settings)
+        self.books = books
+        self._intake = Intake(books)
+        self._runs = Runs(books, self._intake)
+        self._placing = Placing(books)
+        self._dropped_at = 0.0
+        self._reduce_by_type: dict[type[Event], Callable[..., None]] = {
+            events.JobSubmitted: self._intake.on_submitted,
+            events.CancelRequested: self._intake.on_cancel,
+            events.BatchStored: self._on_stored,
+            events.RulesChanged: self._on_rules,
+            events.ZonesChanged: self._on_zones,
+            events.WorkerListed: self._runs.on_listed,
+            events.WorkerUnlisted: lambda e: self._runs.on_unlisted(e.worker),
+            events.HoldAnswered: self._runs.on_hold_answered,
+            events.HoldFailed: self._runs.on_hold_failed,
+            events.StartAnswered: self._runs.on_start_answered,
+            events.StopAnswered: self._runs.on_stop_answered,
+            events.AdviceGiven: self._on_advice,
+            events.AdviceFailed: self._on_advice_failed,
+            events.MemberJoined: lambda e: books.desk.add_member(e.member),
+            events.MemberLeft: lambda e: books.desk.remove_member(e.member, e.now),
+            events.Tick: self._on_tick,
+            events.FlushDue: lambda e: None,
+        }
+
+    def load(self, records: dict[str, bytes], now: float, wall_ms: int) -> None:
+        """Rebuild the jobs that earlier planners stored.
+
+        :param records: newest value of each key
+        """
+        books = self.books
+        books.wall_ms = wall_ms
+        books.job_by_id, unreadable = load_jobs(records, now)
+        longest_lease = books.settings.lease_s / (1 - CLOCK_RATE_ERROR)
+        for job in books.job_by_id.values():
+            if job.is_over:
+                continue
+            for task in job.tasks():
+                if not task.worker:
+                    continue
+                worker = books.find_worker(task.worker)
+                worker.lease_until = now + FENCE_DELAY_S + longest_lease
+                life = task.life
+                books.place(task, worker)
+                task.life = life
+            self._intake.open(job)
+            for occurrence in job.occurrences.values():
+                books.open_steps(occurrence)
+            self._intake.check_finished(job, now)
+        books.note(
+            "jobs_loaded", jobs=len(books.job_by_id), unreadable_records=unreadable
+        )
+
+    def handle(self, event: Event) -> list[Effect]:
+        """Reduce one event and return what is to be done."""
+        self._reduce_by_type[type(event)](event)
+        self._runs.send_holds(event.now)
+        self._flush(event.now)
+        effects = self.books.effects
+        self.books.effects = []
+        return effects
+
+    def describe(self, job_id: str) -> str | None:
+        """Return the state of a job that may be told, or None if it is unknown."""
+        job = self.books.job_by_id.get(job_id)
+        if job is None or not job.is_stored:
+            return None
+        return job.shown.value
+
+    def count_waiting(self, queue: str) -> int:
+        """Return how many accepted jobs of a queue have not begun."""
+        return self._intake.count_waiting(queue)
+
+    @property
+    def next_flush(self) -> float | None:
+        """Time at which a batch can leave, or None if there is nothing to send."""
+        ledger = self.books.ledger
+        if ledger.in_flight is not None:
+            return None
+        if ledger.pending.is_empty and not self.books.needs_pass:
+            return None
+        return ledger.flush_due
+
+    def _flush(self, now: float) -> None:
+        ledger = self.books.ledger
+        if not ledger.may_flush(now):
+            return
+        if self.books.needs_pass:
+            self.books.needs_pass = False
+            self._placing.run(now)
+        store = ledger.flush(now)
+        if store is not None:
+            self.books.effects.append(store)
+
+    def _on_stored(self, event: events.BatchStored) -> None:
+        batch = self.books.ledger.on_stored(event.number)
+        if batch is None:
+            return
+        for job in batch.jobs.values():
+            job.is_stored = True
+            if job.is_over:
+                job.is_final_stored = True
+                self._intake.stop_tasks(job)
+        self.books.effects.extend(batch.replies)
+        self._placing.start_stored(batch.starts, event.now)
+        self._forget_ends(batch, event.now)
+
+    def _forget_ends(self, batch: Batch, now: float) -> None:
+        for end in batch.ends:
+            worker = self.books.worker_by_id[end.worker]
+            if worker.life == end.life:
+                worker.cursor = max(worker.cursor, end.number)
+                worker.hold_due = min(worker.hold_due, now)
+
+    def _on_rules(self, event: events.RulesChanged) -> None:
+        self.books.rules = event.rules
+        self.books.queue_by_name.update(event.rules.queue_by_name)
+        self.books.needs_pass = True
+        self.books.note("rules_changed", version=event.rules.version)
+
+    def _on_zones(self, event: events.ZonesChanged) -> None:
+        self.books.zones_out = event.out
+        self.books.needs_pass = True
+        self.books.note("zones_out", zones=sorted(event.out))
+
+    def _on_advice(self, event: events.AdviceGiven) -> None:
+        desk = self.books.desk
+        job = self.books.job_by_id.get(event.step.job)
+        queue = self.books.queue_by_name.get(job.spec.queue) if job else None
+        valid_s = queue.advice.valid_s if queue and queue.advice else 0.0
+        tickets = {
+            name: Ticket(self.books.find_worker(name).life, text, event.now + valid_s)
+            for name, text in event.good
+        }
+        desk.on_given(event.member, event.step, event.asked, tickets)
+        self.books.needs_pass = True
+
+    def _on_advice_failed(self, event: events.AdviceFailed) -> None:
+        self.books.desk.on_failed(event.member, event.step, event.now)
+        self.books.note("advice_failed", step=list(event.step), member=event.member)
+        self.books.needs_pass = True
+
+    def _on_tick(self, event: events.Tick) -> None:
+        books = self.books
+        books.wall_ms = event.wall_ms
+        books.needs_pass = True
+        for job in list(books.timed_by_id.values()):
+            self._intake.open_due(job)
+        self._runs.expire_leases(event.now)
+        self._repeat_starts(event.now)
+        self._drop_old(event.now)
+
+    def _repeat_starts(self, now: float) -> None:
+        for task in list(self.books.unsure.values()):
+            if now < task.retry_at or task.state is not TaskState.STARTING:
+                continue
+            worker = self.books.worker_by_id[task.worker]
+            if worker.failed_holds or worker.life != task.life:
+                continue
+            task.retry_at = now + 1.0
+            if task.is_stopping or task.step.occurrence.job.is_over:
+                self.books.stop(task)
+            else:
+                self._placing.order_start(task, now)
+
+    def _drop_old(self, now: float) -> None:
+        if now - self._dropped_at < 1.0:
+            return
+        self._dropped_at = now
+        keep_s = self.books.settings.status_s + STATUS_MARGIN_S
+        for job_id, job in list(self.books.job_by_id.items()):
+            if not job.is_final_stored or now - job.final_at <= keep_s:
+                continue
+            if not any(task.worker for task in job.tasks()):
+                del self.books.job_by_id[job_id]
+                self.books.ledger.pending.dropped.append(job_id)
--- /dev/null
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/records.py
@@ -0,0 +1,185 @@
+"""Records of jobs in the store: one for a job, one for each occurrence."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+import msgpack
+
+from ..resources import Resources
+from .jobs import Job, JobState, Occurrence, TaskState
+from .specs import JobSpec, StepSpec
+
+FORMAT = 1
+"""Version of the layout of records."""
+
+
+class RecordError(ValueError):
+    """A stored record can't be read."""
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """A keyed record; without a value it drops the key."""
+
+    key: str
+    value: bytes
+
+
+def encode_job(job: Job) -> Record:
+    """Encode the unchanging part of a job, or its final state."""
+    spec = job.spec
+    if job.outcome is not None:
+        final = [FORMAT, job.outcome.value, spec.queue, spec.tenant, spec.received_ms]
+        return Record(spec.id, msgpack.packb(final))
+    steps = [
+        [
+            step.count,
+            [step.size.processors, step.size.memory, step.size.accelerators],
+            step.estimate_s,
+            list(step.after),
+            [step.checkpoints, step.gang, step.same_rack, step.speculative],
+            [step.lasting, step.fills],
+            [step.label, step.data_rack, step.image],
+            [step.most_per_worker, step.may_miss, step.target_s],
+        ]
+        for step in spec.steps
+    ]
+    times = [spec.first_due_ms, spec.period_ms, spec.occurrences]
+    plain = [FORMAT, "", spec.queue, spec.tenant, spec.received_ms]
+    return Record(spec.id, msgpack.packb([*plain, spec.payload, times, steps]))
+
+
+def encode_occurrence(occurrence: Occurrence) -> Record:
+    """Encode the tasks of an occurrence that are not in their first state."""
+    key = f"{occurrence.job.spec.id}.{occurrence.index}"
+    if occurrence.is_done:
+        return Record(key, msgpack.packb([FORMAT, True]))
+    steps: list[Any] = []
+    for step in occurrence.steps:
+        if step.is_done:
+            steps.append(True)
+            continue
+        rows = [
+            [
+                task.id.position,
+                int(task.state is TaskState.DONE),
+                task.run,
+                task.worker,
+                task.life,
+                task.failures,
+                task.checkpoint,
+            ]
+            for task in step.tasks
+            if task.run or task.failures
+        ]
+        steps.append([step.run, step.failures, step.failed_run, rows])
+    return Record(key, msgpack.packb([FORMAT, False, steps]))
+
+
+def drop(key: str) -> Record:
+    """Return the record that removes a key."""
+    return Record(key, b"")
+
+
+def load_jobs(records: dict[str, bytes], now: float) -> tuple[dict[str, Job], int]:
+    """Rebuild jobs from the newest record of each key.
+
+    :returns: jobs by id, and how many records could not be read
+    """
+    jobs: dict[str, Job] = {}
+    unreadable = 0
+    for key, value in records.items():
+        if "." in key:
+            continue
+        try:
+            jobs[key] = _decode_job(key, value, now)
+        except (ValueError, TypeError, IndexError):
+            unreadable += 1
+    for key, value in records.items():
+        job_id, dot, index = key.partition(".")
+        job = jobs.get(job_id)
+        if not dot or job is None or job.is_over:
+            continue
+        try:
+            _decode_occurrence(job, int(index), value)
+        except (ValueError, TypeError, IndexError):
+            unreadable += 1
+    return jobs, unreadable
+
+
+def _decode_job(key: str, value: bytes, now: float) -> Job:
+    plain = msgpack.unpackb(value)
+    version, outcome, queue, tenant, received_ms, *rest = plain
+    if version != FORMAT:
+        raise RecordError(f"record of layout {version}")
+    if outcome:
+        job = Job(JobSpec(key, queue, tenant, "", (), received_ms))
+        job.outcome = JobState(outcome)
+        job.is_final_stored = True
+        job.final_at = now
+    else:
+        payload, times, steps = rest
+        specs = tuple(_decode_step(step) for step in steps)
+        job = Job(JobSpec(key, queue, tenant, payload, specs, received_ms, *times))
+    job.is_stored = True
+    return job
+
+
+def _decode_step(plain: list[Any]) -> StepSpec:
+    count, size, estimate_s, after, flags, kinds, names, bounds = plain
+    checkpoints, gang, same_rack, speculative = flags
+    lasting, fills = kinds
+    label, data_rack, image = names
+    most_per_worker, may_miss, target_s = bounds
+    return StepSpec(
+        count=count,
+        size=Resources(*size),
+        estimate_s=estimate_s,
+        after=tuple(after),
+        checkpoints=checkpoints,
+        gang=gang,
+        same_rack=same_rack,
+        label=label,
+        data_rack=data_rack,
+        most_per_worker=most_per_worker,
+        speculative=speculative,
+        lasting=lasting,
+        image=image,
+        target_s=target_s,
+        fills=fills,
+        may_miss=may_miss,
+    )
+
+
+def _decode_occurrence(job: Job, index: int, value: bytes) -> None:
+    plain = msgpack.unpackb(value)
+    occurrence = job.add_occurrence(index)
+    occurrence.has_started = True
+    job.has_started = True
+    if plain[1]:
+        for step in occurrence.steps:
+            step.done = step.spec.count
+        return
+    for step, stored in zip(occurrence.steps, plain[2], strict=True):
+        if stored is True:
+            step.done = step.spec.count
+            for task in step.tasks:
+                task.state = TaskState.DONE
+            continue
+        step.run, step.failures, step.failed_run, rows = stored
+        for row in rows:
+            position, is_done, run, worker, life, failures, checkpoint = row
+            task = step.tasks[position]
+            task.run = run
+            task.worker = worker
+            task.life = life
+            task.failures = failures
+            task.checkpoint = checkpoint
+            if is_done:
+                task.state = TaskState.DONE
+                step.done += 1
+            elif worker:
+                task.state = TaskState.STARTING
+                task.is_unsure = True
--- /dev/null
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/runs.py
@@ -0,0 +1,386 @@
+"""Runs on workers: starts, lists of what runs, ends, and leases."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .effects import Hold, StepDown, Stop
+from .events import EndKind, HoldAnswered, StartOutcome
+from .jobs import JobState, TaskState
+from .ledger import StoredEnd
+
+if TYPE_CHECKING:
+    from .books import Books
+    from .events import (
+        EndRow,
+        HoldFailed,
+        RunningRow,
+        StartAnswered,
+        StopAnswered,
+        WorkerListed,
+    )
+    from .fleet import Worker
+    from .intake import Intake
+    from .jobs import Task
+    from .specs import TaskId
+
+HOLD_WAIT_S = 1.0
+"""Seconds that a worker waits for an end: a third of the shortest lease in use."""
+
+UNSTORED_HOLD_S = 0.8
+"""Seconds until the next hold while ends wait for the store."""
+
+HOLD_RETRY_S = 0.3
+"""Seconds until a hold that failed is repeated."""
+
+START_RETRY_S = 0.25
+"""Seconds until a start without an answer is repeated: it is idempotent."""
+
+STREAK_LIMIT = 2
+"""Failed runs in a row, of different jobs, after which a worker is in quarantine."""
+
+QUARANTINE_S = 4.0
+"""Seconds until a worker in quarantine gets work again."""
+
+
+class Runs:
+    """Settles what runs where, from the workers' own lists."""
+
+    def __init__(self, books: Books, intake: Intake) -> None:
+        self._books = books
+        self._intake = intake
+
+    # Holds
+
+    def send_holds(self, now: float) -> None:
+        """Send the holds that are due."""
+        for worker in self._books.worker_by_id.values():
+            if worker.is_holding or now < worker.hold_due or worker.entry is None:
+                continue
+            if not worker.is_listed and not worker.task_by_id and worker.failed_holds:
+                continue
+            self._send_hold(worker, now)
+
+    def _send_hold(self, worker: Worker, now: float) -> None:
+        assert worker.entry is not None
+        is_fenced = worker.fenced_life == worker.life and worker.life != 0
+        renews = is_fenced and not worker.failed_holds
+        deadline_ms = 0
+        if renews:
+            lease_s = self._books.settings.lease_s
+            deadline_ms = worker.compute_deadline_ms(now, lease_s)
+            worker.extend_lease(now, lease_s)
+        waits = renews and worker.seen_end == worker.cursor
+        worker.is_holding = True
+        self._books.effects.append(
+            Hold(
+                worker.id,
+                worker.entry.address,
+                worker.token,
+                worker.cursor,
+                HOLD_WAIT_S if waits else 0.0,
+                deadline_ms,
+            )
+        )
+
+    def on_hold_failed(self, event: HoldFailed) -> None:
+        """Try again; without an answer the leases run out."""
+        worker = self._books.worker_by_id[event.worker]
+        worker.is_holding = False
+        worker.failed_holds += 1
+        worker.hold_due = event.now + HOLD_RETRY_S
+        if event.fenced:
+            self._books.effects.append(StepDown(f"fenced by {event.worker}"))
+        if worker.failed_holds == 1:
+            self._books.note("worker_silent", worker=worker.id, life=worker.life)
+
+    def on_hold_answered(self, event: HoldAnswered) -> None:
+        """Settle every run placed on the worker by what it lists."""
+        worker = self._books.worker_by_id[event.worker]
+        worker.is_holding = False
+        worker.hold_due = event.now
+        worker.clock_ms = event.clock_ms
+        worker.clock_at = event.now
+        if worker.failed_holds:
+            self._books.note("worker_answers", worker=worker.id, life=event.life)
+        worker.failed_holds = 0
+        if not self._check_life(worker, event):
+            return
+        worker.answered_at = event.now
+        worker.is_lost = False
+        if worker.fenced_life != event.life:
+            worker.fenced_life = event.life
+            self._books.needs_pass = True
+        self._reduce_ends(worker, event)
+        self._reduce_lists(worker, event)
+
+    def _check_life(self, worker: Worker, event: HoldAnswered) -> bool:
+        """Return whether the lists may be used: the token is known to them."""
+        if event.life != worker.life:
+            is_first = worker.life == 0
+            worker.life = event.life
+            worker.cursor = 0
+            worker.seen_end = 0
+            self._books.note("worker_life", worker=worker.id, life=event.life)
+            if not is_first:
+                worker.token += 1
+                return False
+        return event.token == worker.token
+
+    def _reduce_ends(self, worker: Worker, event: HoldAnswered) -> None:
+        news = [row for row in event.ends if row.number > worker.seen_end]
+        for row in news:
+            self._reduce_end(worker, row, event.now)
+            worker.seen_end = row.number
+        if news:
+            end = StoredEnd(worker.id, worker.life, worker.seen_end)
+            self._books.ledger.pending.ends.append(end)
+        if worker.seen_end != worker.cursor:
+            worker.hold_due = event.now + UNSTORED_HOLD_S
+
+    def _reduce_lists(self, worker: Worker, event: HoldAnswered) -> None:
+        row_by_run = {(row.task, row.run): row for row in event.running}
+        for task in list(worker.task_by_id.values()):
+            row = row_by_run.pop((task.id, task.run), None)
+            if row is not None:
+                self._confirm(task, worker, row, event.now)
+            else:
+                self._settle_absent(task, worker, event)
+        for task_id, run in list(worker.foreign):
+            if (task_id, run) not in row_by_run:
+                worker.release(worker.foreign.pop((task_id, run)))
+        for row in row_by_run.values():
+            self._stop_foreign(worker, row)
+
+    def _confirm(self, task: Task, worker: Worker, row: RunningRow, now: float) -> None:
+        if task.state is TaskState.STARTING:
+            task.state = TaskState.RUNNING
+            task.confirmed_at = now
+            task.is_unsure = False
+            self._books.unsure.pop(task.id, None)
+        task.life = worker.life
+        if row.checkpoint:
+            task.checkpoint = row.checkpoint
+        if row.percent != task.percent:
+            task.percent = row.percent
+            task.progress_at = now
+        is_unwanted = task.step.occurrence.job.is_over or task.is_stopping
+        if is_unwanted and task.state is not TaskState.DONE:
+            self._books.stop(task)
+
+    def _settle_absent(self, task: Task, worker: Worker, event: HoldAnswered) -> None:
+        if task.state is TaskState.PLACED:
+            return
+        if task.life != event.life:
+            self._lose(task, "worker restarted")
+        elif task.state is TaskState.STARTING:
+            if event.sent_at > task.barred_at:
+                self._lose(task, "start barred")
+        elif event.sent_at > task.confirmed_at:
+            self._lose(task, "no longer listed")
+
+    def _lose(self, task: Task, reason: str) -> None:
+        self._books.note(
+            "run_lost", task=list(task.id), run=task.run, on=task.worker, reason=reason
+        )
+        self._books.requeue(task)
+        self._abort_gang(task)
+
+    def _stop_foreign(self, worker: Worker, row: RunningRow) -> None:
+        key = (row.task, row.run)
+        if key not in worker.foreign:
+            task = self._find_task(row.task)
+            assert worker.entry is not None
+            size = task.step.spec.size if task else worker.entry.capacity
+            worker.foreign[key] = size
+            worker.reserve(size)
+            self._books.note(
+                "foreign_run", task=list(row.task), run=row.run, on=worker.id
+            )
+        assert worker.entry is not None
+        self._books.effects.append(
+            Stop(worker.id, worker.entry.address, worker.token, row.task, row.run)
+        )
+
+    def _find_task(self, task_id: TaskId) -> Task | None:
+        job = self._books.job_by_id.get(task_id.job)
+        occurrence = job.occurrences.get(task_id.occurrence) if job else None
+        if occurrence is None or task_id.step >= len(occurrence.steps):
+            return None
+        tasks = occurrence.steps[task_id.step].tasks
+        return tasks[task_id.position] if task_id.position < len(tasks) else None
+
+    # Ends
+
+    def _reduce_end(self, worker: Worker, row: EndRow, now: float) -> None:
+        task = worker.task_by_id.get(row.task)
+        if task is None or task.run != row.run:
+            return
+        job = task.step.occurrence.job
+        self._books.note(
+            "run_ended",
+            task=list(row.task),
+            run=row.run,
+            on=worker.id,
+            how=row.how.value,
+        )
+        if row.checkpoint:
+            task.checkpoint = row.checkpoint
+        if row.how is EndKind.DONE:
+            worker.fail_streak = 0
+            self._books.release(task)
+            self._complete(task, now)
+        elif row.how is EndKind.FAILED:
+            self._count_failure(task, worker, now)
+            self._books.requeue(task)
+        else:
+            self._books.requeue(task)
+            if row.how is not EndKind.BROKEN:
+                self._abort_gang(task)
+        if job.is_over:
+            self._books.close_step(task.step)
+
+    def _complete(self, task: Task, now: float) -> None:
+        step = task.step
+        members = step.tasks if step.spec.gang else [task]
+        for member in members:
+            if member.state is not TaskState.DONE:
+                member.state = TaskState.DONE
+                step.done += 1
+        self._books.change(step.occurrence)
+        if not step.is_done or step.occurrence.job.is_over:
+            return
+        self._books.close_step(step)
+        if step.occurrence.is_done:
+            self._intake.check_finished(step.occurrence.job, now)
+        else:
+            self._books.open_steps(step.occurrence)
+
+    def _count_failure(self, task: Task, worker: Worker, now: float) -> None:
+        if not task.failed_on:
+            worker.fail_streak += 1
+        task.failed_on.add(worker.id)
+        if worker.fail_streak >= STREAK_LIMIT:
+            worker.quarantined_until = now + QUARANTINE_S
+            self._books.note("worker_quarantined", worker=worker.id)
+        step = task.step
+        job = step.occurrence.job
+        if step.spec.gang:
+            if task.run > step.failed_run:
+                step.failed_run = task.run
+                step.failures += 1
+            failures = step.failures
+        else:
+            task.failures += 1
+            failures = task.failures
+        queue = self._books.queue_by_name.get(job.spec.queue)
+        if step.spec.lasting or queue is None or failures < queue.max_attempts:
+            return
+        self._books.finish(job, JobState.FAILED, now)
+        self._intake.stop_tasks(job)
+
+    # Orders
+
+    def on_start_answered(self, event: StartAnswered) -> None:
+        """Confirm a start, repeat it, or place the task anew."""
+        worker = self._books.worker_by_id[event.worker]
+        task = worker.task_by_id.get(event.task)
+        if task is None or task.run != event.run:
+            return
+        if task.state is not TaskState.STARTING:
+            return
+        outcome = event.outcome
+        if outcome is StartOutcome.STARTED:
+            task.state = TaskState.RUNNING
+            task.confirmed_at = event.now
+            task.progress_at = event.now
+            task.is_unsure = False
+            self._books.unsure.pop(task.id, None)
+            if task.step.occurrence.job.is_over:
+                self._books.stop(task)
+            return
+        self._books.note(
+            "start_failed",
+            task=list(task.id),
+            run=task.run,
+            on=worker.id,
+            outcome=outcome.value,
+        )
+        if outcome is StartOutcome.OLD:
+            task.barred_at = event.now
+            worker.hold_due = min(worker.hold_due, event.now)
+        elif outcome is StartOutcome.UNKNOWN or task.is_unsure:
+            self._repeat_or_bar(task, worker, event)
+        else:
+            self._refused(task, worker, event)
+
+    def _repeat_or_bar(self, task: Task, worker: Worker, event: StartAnswered) -> None:
+        task.is_unsure = True
+        self._books.unsure[task.id] = task
+        task.retry_at = event.now + START_RETRY_S
+        if event.outcome is not StartOutcome.UNKNOWN or task.is_stopping:
+            self._books.stop(task)
+
+    def _refused(self, task: Task, worker: Worker, event: StartAnswered) -> None:
+        if event.outcome is StartOutcome.UNHEALTHY:
+            worker.quarantined_until = event.now + QUARANTINE_S / 4
+        if event.outcome is StartOutcome.BAD_TICKET:
+            advice = self._books.desk.find(task.step.id)
+            advice.ticket_by_worker.pop(worker.id, None)
+        self._books.requeue(task)
+        self._abort_gang(task)
+
+    def _abort_gang(self, task: Task) -> None:
+        """Stop the other members of a run that can't go on without one of them."""
+        if not task.step.spec.gang or task.state is TaskState.DONE:
+            return
+        for member in task.step.tasks:
+            if member.worker and not member.is_stopping:
+                self._books.stop(member)
+
+    def on_stop_answered(self, event: StopAnswered) -> None:
+        """Note that a run can't begin any more; the next list settles it."""
+        worker = self._books.worker_by_id[event.worker]
+        task = worker.task_by_id.get(event.task)
+        if task is None or task.run != event.run or not event.is_confirmed:
+            return
+        if task.state is TaskState.STARTING:
+            task.barred_at = min(task.barred_at, event.now)
+            self._books.unsure.pop(task.id, None)
+        worker.hold_due = min(worker.hold_due, event.now)
+
+    # Workers
+
+    def on_listed(self, event: WorkerListed) -> None:
+        """Take an entry over; a new incarnation is held at once."""
+        worker = self._books.find_worker(event.entry.id)
+        if worker.entry is None or worker.entry.is_ready != event.entry.is_ready:
+            self._books.note(
+                "worker_listed", worker=worker.id, ready=event.entry.is_ready
+            )
+        worker.accept(event.entry)
+        if event.entry.life != worker.life:
+            worker.hold_due = event.now
+        if not worker.is_listed:
+            worker.is_listed = True
+            worker.hold_due = min(worker.hold_due, event.now)
+        self._books.needs_pass = True
+
+    def on_unlisted(self, worker_id: str) -> None:
+        """Give a worker nothing more; what runs there is settled by its leases."""
+        worker = self._books.worker_by_id.get(worker_id)
+        if worker is not None and worker.is_listed:
+            worker.is_listed = False
+            self._books.note("worker_unlisted", worker=worker_id)
+
+    def expire_leases(self, now: float) -> None:
+        """Take back the tasks of workers whose leases have lapsed for certain."""
+        for worker in self._books.worker_by_id.values():
+            if not worker.task_by_id or now < worker.lease_until:
+                continue
+            if not worker.is_out_of_contact:
+                continue
+            worker.is_lost = True
+            for task in list(worker.task_by_id.values()):
+                if task.state is not TaskState.PLACED:
+                    self._lose(task, "lease lapsed")
--- /dev/null
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/feeds.py
@@ -0,0 +1,203 @@
+"""Follow what operators and workers write into the store."""
+
+from __future__ import annotations
+
+import asyncio
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING
+
+from jacinthloom_core.planner.rules import Rules
+
+from ..platform import topics
+from ..platform.errors import PlatformError, ShapeError, TruncatedError
+from ..platform.log_store import decode_keyed
+from ..platform.shapes import decode_rules, decode_worker
+from . import log
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from jacinthloom_core.planner.fleet import WorkerEntry
+
+    from ..platform.log_store import LogStore
+
+READ_WAIT_S = 1.2
+"""Seconds that a read waits for a change: a silent connection is noticed within the
+bound on configurations."""
+
+RETRY_S = 0.15
+"""Seconds until a read that failed is repeated."""
+
+
+class KeyedFeed(ABC):
+    """Follow one keyed topic: its newest records, then every change."""
+
+    topic: str
+    """Name of the topic."""
+
+    pause_s: float = 0.0
+    """Seconds between two reads, to gather changes."""
+
+    def __init__(self, store: LogStore) -> None:
+        self._store = store
+        self._is_reachable = True
+
+    async def follow(self) -> None:
+        """Read until cancelled; start over where records were deleted."""
+        while True:
+            try:
+                await self._follow_once()
+            except TruncatedError as error:
+                log.write("feed_truncated", topic=self.topic, first=error.first)
+            except PlatformError as error:
+                self._mark(False, str(error))
+                await asyncio.sleep(RETRY_S)
+
+    async def _follow_once(self) -> None:
+        newest = await self._store.read_newest(self.topic)
+        self._mark(True)
+        self.on_newest(newest.value_by_key)
+        position = newest.end
+        while True:
+            try:
+                read = await self._store.read(self.topic, position, READ_WAIT_S)
+            except TruncatedError:
+                raise
+            except PlatformError as error:
+                self._mark(False, str(error))
+                await asyncio.sleep(RETRY_S)
+                continue
+            self._mark(True)
+            for data in read.records:
+                self._on_record(data)
+            position = read.next
+            if self.pause_s:
+                await asyncio.sleep(self.pause_s)
+
+    def _mark(self, is_reachable: bool, reason: str = "") -> None:
+        if is_reachable != self._is_reachable:
+            kind = "dependency_regained" if is_reachable else "dependency_lost"
+            log.write(kind, dependency="store", topic=self.topic, reason=reason)
+        self._is_reachable = is_reachable
+
+    def _on_record(self, data: bytes) -> None:
+        try:
+            key, value = decode_keyed(data)
+        except ShapeError as error:
+            log.write("record_ignored", topic=self.topic, reason=str(error))
+            return
+        self.on_change(key, value)
+
+    @abstractmethod
+    def on_newest(self, value_by_key: dict[str, bytes]) -> None:
+        """Take over the newest value of each key; others are gone."""
+
+    @abstractmethod
+    def on_change(self, key: str, value: bytes) -> None:
+        """Take over a change; an empty value means that the key is dropped."""
+
+
+class OperatorFeed(KeyedFeed):
+    """The configuration, and the zones that operators took out."""
+
+    topic = topics.OPERATORS
+
+    def __init__(
+        self,
+        store: LogStore,
+        on_rules: Callable[[Rules], None],
+        on_zones: Callable[[frozenset[str]], None],
+    ) -> None:
+        super().__init__(store)
+        self._on_rules = on_rules
+        self._on_zones = on_zones
+        self.rules = Rules()
+        self.zones_out: frozenset[str] = frozenset()
+        self.has_rules = asyncio.Event()
+
+    def on_newest(self, value_by_key: dict[str, bytes]) -> None:
+        """Take over configuration and zones."""
+        zones = {
+            key.removeprefix(topics.ZONE_OUT_PREFIX)
+            for key in value_by_key
+            if key.startswith(topics.ZONE_OUT_PREFIX)
+        }
+        self._set_zones(frozenset(zones))
+        if topics.CONFIGURATION_KEY in value_by_key:
+            self._take_rules(value_by_key[topics.CONFIGURATION_KEY])
+
+    def on_change(self, key: str, value: bytes) -> None:
+        """Take over one change."""
+        if key == topics.CONFIGURATION_KEY and value:
+            self._take_rules(value)
+        elif key.startswith(topics.ZONE_OUT_PREFIX):
+            zone = key.removeprefix(topics.ZONE_OUT_PREFIX)
+            self._set_zones(
+                self.zones_out | {zone} if value else self.zones_out - {zone}
+            )
+
+    def _take_rules(self, value: bytes) -> None:
+        try:
+            rules = decode_rules(value)
+        except ShapeError as error:
+            log.write("configuration_ignored", reason=str(error))
+            return
+        if rules.version <= self.rules.version:
+            return
+        log.write("configuration", version=rules.version, before=self.rules.version)
+        self.rules = rules
+        self.has_rules.set()
+        self._on_rules(rules)
+
+    def _set_zones(self, zones: frozenset[str]) -> None:
+        if zones != self.zones_out:
+            self.zones_out = zones
+            self._on_zones(zones)
+
+
+class WorkerFeed(KeyedFeed):
+    """Entries of workers."""
+
+    topic = topics.WORKERS
+    pause_s = 0.2
+
+    def __init__(
+        self,
+        store: LogStore,
+        on_listed: Callable[[WorkerEntry], None],
+        on_unlisted: Callable[[str], None],
+    ) -> None:
+        super().__init__(store)
+        self._on_listed = on_listed
+        self._on_unlisted = on_unlisted
+        self._entry_by_id: dict[str, WorkerEntry] = {}
+        self._ignored: set[str] = set()
+
+    def on_newest(self, value_by_key: dict[str, bytes]) -> None:
+        """Take over all entries."""
+        for worker in list(self._entry_by_id):
+            if worker not in value_by_key:
+                self._drop(worker)
+        for worker, value in value_by_key.items():
+            self.on_change(worker, value)
+
+    def on_change(self, key: str, value: bytes) -> None:
+        """Take over one entry."""
+        if not value:
+            self._drop(key)
+            return
+        try:
+            entry = decode_worker(key, value)
+        except ShapeError as error:
+            if key not in self._ignored:
+                self._ignored.add(key)
+                log.write("worker_entry_ignored", worker=key, reason=str(error))
+            self._drop(key)
+            return
+        if self._entry_by_id.get(key) != entry:
+            self._entry_by_id[key] = entry
+            self._on_listed(entry)
+
+    def _drop(self, worker: str) -> None:
+        if self._entry_by_id.pop(worker, None) is not None:
+            self._on_unlisted(worker)
--- /dev/null
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/front.py
@@ -0,0 +1,134 @@
+"""Serve clients: check their calls, hand them to the planner, answer."""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from jacinthloom_core.planner.specs import JobSpecError, check_job
+
+from ..metrics import Latency
+from ..platform.client_calls import (
+    Action,
+    Call,
+    CallRefusedError,
+    parse_call,
+    respond,
+    respond_state,
+    respond_waiting,
+)
+from ..platform.errors import ShapeError
+from ..platform.shapes import decode_job
+from . import log, messages
+from .planner_link import NoPlannerError, UnansweredError
+
+if TYPE_CHECKING:
+    from jacinthloom_core.planner.rules import Rules
+    from jacinthloom_wire.http_server import Request, ServerResponse
+
+    from .feeds import OperatorFeed
+    from .planner_link import PlannerLink
+
+PLANNER_WAIT_S = 0.7
+"""Seconds that a call waits for a planner: a third of an election."""
+
+ANSWER_MARGIN_S = 0.25
+"""Seconds of a caller's budget that are left for the answer to travel."""
+
+RETRY_AFTER_S = 1
+"""Seconds to come back after when there is no planner: an election takes two."""
+
+
+class Front:
+    """Answer the calls of clients."""
+
+    def __init__(self, feed: OperatorFeed, link: PlannerLink) -> None:
+        self._feed = feed
+        self._link = link
+        self.counters: Counter[str] = Counter()
+        self.latency = Latency(
+            "jacinthloom_call_seconds", "Time from a client's call to its answer."
+        )
+
+    async def handle(self, request: Request) -> ServerResponse:
+        """Answer one call."""
+        began = time.perf_counter()
+        rules = self._feed.rules
+        if not rules.version:
+            return respond(503, "there is no configuration yet", RETRY_AFTER_S)
+        try:
+            call = parse_call(request, rules)
+            response = await self._serve(call, request, rules)
+        except CallRefusedError as error:
+            response = respond(error.status, str(error))
+            self._log_refusal(request, error.status, str(error), rules)
+        self.counters[f"{request.method} {response.status}"] += 1
+        self.latency.record(time.perf_counter() - began)
+        return response
+
+    async def _serve(
+        self, call: Call, request: Request, rules: Rules
+    ) -> ServerResponse:
+        message: messages.PlannerCall
+        if call.action is Action.SUBMIT:
+            message = self._read_job(call, request)
+        elif call.action is Action.CANCEL:
+            message = messages.Cancel(0, call.job)
+        elif call.action is Action.SHOW:
+            message = messages.Show(0, call.job)
+        else:
+            message = messages.Count(0, call.queue.name)
+        answer = await self._ask(message, call.budget_s)
+        if answer.status >= 500 or answer.status == 429:
+            self._log_refusal(request, answer.status, answer.reason, rules)
+        if answer.state:
+            return respond_state(answer.state)
+        if call.action is Action.COUNT and answer.status == 200:
+            return respond_waiting(answer.waiting)
+        return respond(answer.status, answer.reason, answer.retry_after_s)
+
+    def _read_job(self, call: Call, request: Request) -> messages.Submit:
+        now_ms = int(time.time() * 1000)
+        try:
+            spec = decode_job(
+                request.body, call.job, call.queue.name, call.tenant, now_ms
+            )
+            check_job(spec)
+        except (ShapeError, JobSpecError) as error:
+            raise CallRefusedError(400, str(error)) from error
+        return messages.Submit(0, spec)
+
+    async def _ask(
+        self, message: messages.PlannerCall, budget_s: float
+    ) -> messages.Answer:
+        """Hand a call to the planner; to its successor if it goes unanswered.
+
+        The store remembers what a planner accepted, so a call may be repeated.
+        """
+        deadline = time.monotonic() + budget_s - ANSWER_MARGIN_S
+        was_sent = False
+        while (left := deadline - time.monotonic()) > 0:
+            wait_s = left if was_sent else min(left, PLANNER_WAIT_S)
+            try:
+                return await self._link.call(message, wait_s, left)
+            except NoPlannerError:
+                if not was_sent:
+                    break
+            except UnansweredError:
+                was_sent = True
+        if was_sent:
+            return messages.Answer(0, 504, "the outcome is not known")
+        return messages.Answer(0, 503, "there is no planner now", RETRY_AFTER_S)
+
+    def _log_refusal(
+        self, request: Request, status: int, reason: str, rules: Rules
+    ) -> None:
+        log.write(
+            "call_refused",
+            method=request.method,
+            path=request.path,
+            status=status,
+            reason=reason,
+            rules=rules.version,
+        )
--- /dev/null
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/log.py
@@ -0,0 +1,79 @@
+"""Structured lines on standard output: bounded, and never blocking."""
+
+from __future__ import annotations
+
+import logging
+import os
+import sys
+import time
+from typing import Any
+
+import msgspec
+
+LINES_PER_S = 2_000.0
+"""Lines a second that are written; several times what a busy planner decides."""
+
+BURST_LINES = 4_000.0
+"""Lines that may be written at once."""
+
+
+class BoundedHandler(logging.Handler):
+    """Write each record as one JSON line; count those that are dropped."""
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__()
+        self._descriptor = descriptor
+        self._allowance = BURST_LINES
+        self._refilled_at = time.monotonic()
+        self.dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a record, or count it as dropped."""
+        if not self._take():
+            self.dropped += 1
+            return
+        line: dict[str, Any] = {
+            "at": round(record.created, 4),
+            "level": record.levelname.lower(),
+            "event": record.getMessage(),
+        }
+        fields = getattr(record, "fields", None)
+        if isinstance(fields, dict):
+            line.update(fields)
+        if record.exc_info:
+            formatter = self.formatter or logging.Formatter()
+            line["exception"] = formatter.formatException(record.exc_info)
+        if self.dropped:
+            line["dropped_before"] = self.dropped
+        try:
+            os.write(self._descriptor, msgspec.json.encode(line) + b"\n")
+            self.dropped = 0
+        except OSError:
+            self.dropped += 1
+
+    def _take(self) -> bool:
+        now = time.monotonic()
+        earned = (now - self._refilled_at) * LINES_PER_S
+        self._allowance = min(BURST_LINES, self._allowance + earned)
+        self._refilled_at = now
+        if self._allowance < 1:
+            return False
+        self._allowance -= 1
+        return True
+
+
+def set_up_log() -> None:
+    """Send all logs to standard output."""
+    handler = BoundedHandler(sys.stdout.fileno())
+    logging.basicConfig(level=logging.INFO, handlers=[handler], force=True)
+
+
+def write(event: str, **fields: Any) -> None:
+    """Write one structured line."""
+    logging.getLogger("jacinthloom").info(event, extra={"fields": fields})
+
+
+def write_failure(event: str, error: BaseException | None) -> None:
+    """Write a line with the traceback of an error."""
+    logging.getLogger("jacinthloom").error(event, exc_info=error)
--- /dev/null
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_host.py
@@ -0,0 +1,328 @@
+"""Run the planner for one term: effects become calls, and answers become events."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import time
+from typing import TYPE_CHECKING
+
+from jacinthloom_core.planner import effects, events
+from jacinthloom_core.planner.books import PlannerSettings
+from jacinthloom_core.planner.planner import TICK_S, Planner
+
+from ..platform import topics
+from ..platform.errors import (
+    FencedError,
+    PlatformError,
+    SequenceError,
+    UnavailableError,
+)
+from ..platform.log_store import Producer, encode_keyed
+from ..platform.worker_client import WorkerClient
+from . import log, messages
+from .feeds import WorkerFeed
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+    from typing import Any
+
+    from jacinthloom_core.planner.effects import Effect
+    from jacinthloom_core.planner.events import Event
+    from jacinthloom_core.planner.fleet import WorkerEntry
+    from jacinthloom_core.planner.rules import Rules
+
+    from ..platform.log_store import LogStore
+
+LEASE_S = 6.0
+"""Seconds that work goes on without the planner: longer than an election and a load."""
+
+RETRY_S = 0.1
+"""Seconds until an append that failed is repeated."""
+
+
+class PlannerHost:
+    """The planner of one term, and its connections."""
+
+    def __init__(
+        self,
+        store: LogStore,
+        settings: PlannerSettings,
+        ask_advice: Callable[[effects.AskAdvice], None],
+        has_authority: Callable[[], bool],
+    ) -> None:
+        self._store = store
+        self._planner = Planner(settings)
+        self._term = settings.term
+        self._ask_advice = ask_advice
+        self._has_authority = has_authority
+        self._sequence = itertools.count(1)
+        self._calls = itertools.count(1)
+        self._future_by_call: dict[int, asyncio.Future[effects.Reply]] = {}
+        self._client_by_worker: dict[str, WorkerClient] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._flush_timer: asyncio.TimerHandle | None = None
+        self.is_ready = asyncio.Event()
+        self.ended = asyncio.Event()
+        self._carry_out_by_type: dict[type[Effect], Callable[..., None]] = {
+            effects.Store: lambda e: self._spawn(self._append(e)),
+            effects.Reply: self._reply,
+            effects.Start: lambda e: self._spawn(self._start(e)),
+            effects.Stop: lambda e: self._spawn(self._stop(e)),
+            effects.Hold: lambda e: self._spawn(self._hold(e)),
+            effects.Pace: lambda e: self._spawn(self._pace(e)),
+            effects.AskAdvice: self._ask_advice,
+            effects.StepDown: lambda e: self.end(e.reason),
+            effects.Note: lambda e: log.write(e.kind, **e.fields),
+        }
+
+    async def run(self, rules: Rules, zones_out: frozenset[str]) -> None:
+        """Load the stored jobs, then plan until the term ends.
+
+        :raises FencedError: if a later planner has taken over
+        """
+        records = await self._load()
+        now = time.monotonic()
+        self._planner.load(records, now, _wall_ms())
+        self.on_rules(rules)
+        self.on_zones(zones_out)
+        feed = WorkerFeed(self._store, self._on_listed, self._on_unlisted)
+        self._spawn(feed.follow())
+        self.is_ready.set()
+        log.write("planner_ready", term=self._term, records=len(records))
+        while not self.ended.is_set():
+            self.handle(events.Tick(time.monotonic(), _wall_ms()))
+            await asyncio.sleep(TICK_S)
+
+    async def _load(self) -> dict[str, bytes]:
+        """Fence earlier planners off the records, then read them."""
+        while True:
+            try:
+                fence = Producer(topics.PRODUCER, self._term, 0)
+                await self._store.append(topics.JOBS, (), producer=fence)
+                newest = await self._store.read_newest(topics.JOBS)
+                return newest.value_by_key
+            except UnavailableError as error:
+                log.write("load_failed", term=self._term, reason=str(error))
+                await asyncio.sleep(RETRY_S)
+
+    def end(self, reason: str) -> None:
+        """Plan no longer."""
+        if self.ended.is_set():
+            return
+        log.write("planner_ended", term=self._term, reason=reason)
+        self.ended.set()
+
+    def close(self) -> None:
+        """Drop all connections and calls."""
+        self.ended.set()
+        for task in self._tasks:
+            task.cancel()
+        for client in self._client_by_worker.values():
+            client.close()
+        for future in self._future_by_call.values():
+            future.cancel()
+        if self._flush_timer is not None:
+            self._flush_timer.cancel()
+
+    async def settle(self, timeout_s: float) -> None:
+        """Wait until the batch in flight is stored, for a planned stop."""
+        deadline = time.monotonic() + timeout_s
+        while self._future_by_call and time.monotonic() < deadline:
+            await asyncio.sleep(RETRY_S / 5)
+
+    # Events
+
+    def handle(self, event: Event) -> None:
+        """Reduce an event and carry out its effects."""
+        if self.ended.is_set():
+            return
+        try:
+            for effect in self._planner.handle(event):
+                self._carry_out_by_type[type(effect)](effect)
+        except Exception as error:
+            log.write_failure("planner_failed", error)
+            self.end("a decision failed")
+            return
+        self._schedule_flush()
+
+    def _schedule_flush(self) -> None:
+        due = self._planner.next_flush
+        if due is None or self._flush_timer is not None:
+            return
+        loop = asyncio.get_running_loop()
+        delay = max(0.0, due - time.monotonic())
+        self._flush_timer = loop.call_later(delay, self._on_flush_due)
+
+    def _on_flush_due(self) -> None:
+        self._flush_timer = None
+        self.handle(events.FlushDue(time.monotonic()))
+
+    def on_rules(self, rules: Rules) -> None:
+        """Take over a configuration."""
+        self.handle(events.RulesChanged(time.monotonic(), rules))
+
+    def on_zones(self, zones: frozenset[str]) -> None:
+        """Take over the zones that are out."""
+        self.handle(events.ZonesChanged(time.monotonic(), zones))
+
+    def on_member(self, member: str, is_connected: bool) -> None:
+        """Count on a member for advice, or no longer."""
+        now = time.monotonic()
+        if is_connected:
+            self.handle(events.MemberJoined(now, member))
+        else:
+            self.handle(events.MemberLeft(now, member))
+
+    def on_advised(self, member: str, answer: messages.Advised) -> None:
+        """Take over an answer of the advice service."""
+        now = time.monotonic()
+        if answer.good is None:
+            self.handle(events.AdviceFailed(now, member, answer.step))
+            return
+        self.handle(
+            events.AdviceGiven(now, member, answer.step, answer.workers, answer.good)
+        )
+
+    def _on_listed(self, entry: WorkerEntry) -> None:
+        self.handle(events.WorkerListed(time.monotonic(), entry))
+
+    def _on_unlisted(self, worker: str) -> None:
+        self.handle(events.WorkerUnlisted(time.monotonic(), worker))
+
+    # Calls
+
+    async def call(self, message: messages.PlannerCall) -> messages.Answer:
+        """Answer a call of a member."""
+        if isinstance(message, messages.Show):
+            return self._show(message)
+        if isinstance(message, messages.Count):
+            waiting = self._planner.count_waiting(message.queue)
+            return messages.Answer(message.call, 200, waiting=waiting)
+        call = next(self._calls)
+        future: asyncio.Future[effects.Reply] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._future_by_call[call] = future
+        now = time.monotonic()
+        if isinstance(message, messages.Submit):
+            self.handle(events.JobSubmitted(now, call, message.job))
+        else:
+            self.handle(events.CancelRequested(now, call, message.job))
+        try:
+            reply = await future
+        finally:
+            self._future_by_call.pop(call, None)
+        status = reply.status
+        if status == 410 and not self._has_authority():
+            status = 503
+        return messages.Answer(message.call, status, reply.reason, reply.retry_after_s)
+
+    def _show(self, message: messages.Show) -> messages.Answer:
+        state = self._planner.describe(message.job)
+        if state is not None:
+            return messages.Answer(message.call, 200, state=state)
+        if self._has_authority():
+            return messages.Answer(message.call, 410)
+        reason = "whether the job is known can't be told now"
+        return messages.Answer(message.call, 503, reason, 1)
+
+    def _reply(self, reply: effects.Reply) -> None:
+        future = self._future_by_call.get(reply.call)
+        if future is not None and not future.done():
+            future.set_result(reply)
+
+    # Effects
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _append(self, store: effects.Store) -> None:
+        data = [encode_keyed(record) for record in store.records]
+        if data:
+            producer = Producer(topics.PRODUCER, self._term, next(self._sequence))
+            if not await self._append_until_known(data, producer):
+                return
+        self.handle(events.BatchStored(time.monotonic(), store.number))
+
+    async def _append_until_known(self, data: list[bytes], producer: Producer) -> bool:
+        failures = 0
+        while not self.ended.is_set():
+            try:
+                await self._store.append(topics.JOBS, data, producer=producer)
+            except (FencedError, SequenceError) as error:
+                self.end(f"append refused: {error}")
+                return False
+            except PlatformError as error:
+                failures += 1
+                if failures == 1:
+                    log.write("append_failed", term=self._term, reason=str(error))
+                await asyncio.sleep(RETRY_S)
+            else:
+                if failures:
+                    log.write("append_recovered", term=self._term, failures=failures)
+                return True
+        return False
+
+    def _find_client(self, worker: str, address: str) -> WorkerClient:
+        client = self._client_by_worker.get(worker)
+        if client is None or client.address != address:
+            if client is not None:
+                client.close()
+            client = self._client_by_worker[worker] = WorkerClient(worker, address)
+        return client
+
+    async def _start(self, start: effects.Start) -> None:
+        client = self._find_client(start.worker, start.address)
+        outcome = events.StartOutcome.NOT_SENT
+        if self._has_authority():
+            outcome = await client.start(start)
+        self.handle(
+            events.StartAnswered(
+                time.monotonic(), start.worker, start.task, start.run, outcome
+            )
+        )
+
+    async def _stop(self, stop: effects.Stop) -> None:
+        client = self._find_client(stop.worker, stop.address)
+        is_confirmed = await client.stop(stop)
+        self.handle(
+            events.StopAnswered(
+                time.monotonic(), stop.worker, stop.task, stop.run, is_confirmed
+            )
+        )
+
+    async def _pace(self, pace: effects.Pace) -> None:
+        client = self._find_client(pace.worker, pace.address)
+        if not await client.pace(pace):
+            log.write("pace_failed", task=list(pace.task), on=pace.worker)
+
+    async def _hold(self, hold: effects.Hold) -> None:
+        client = self._find_client(hold.worker, hold.address)
+        sent_at = time.monotonic()
+        try:
+            listing = await client.hold(hold)
+        except FencedError:
+            self.handle(events.HoldFailed(time.monotonic(), hold.worker, fenced=True))
+            return
+        except PlatformError:
+            self.handle(events.HoldFailed(time.monotonic(), hold.worker))
+            return
+        self.handle(
+            events.HoldAnswered(
+                time.monotonic(),
+                hold.worker,
+                sent_at,
+                hold.token,
+                listing.life,
+                listing.clock_ms,
+                listing.running,
+                listing.ends,
+            )
+        )
+
+
+def _wall_ms() -> int:
+    return int(time.time() * 1000)
--- /dev/null
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_link.py
@@ -0,0 +1,297 @@
+"""A member's way to the planner: a stream, or a direct call in its own process."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import time
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from . import log, messages
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from jacinthloom_core.planner.election import Term
+
+    from .planner_host import PlannerHost
+
+CONNECT_TIMEOUT_S = 0.5
+"""Seconds to open a stream between hosts that are milliseconds apart."""
+
+PING_S = 0.5
+"""Seconds between two signs of life."""
+
+SILENCE_S = 1.6
+"""Seconds without a sign of life after which a stream is replaced: three pings."""
+
+REDIAL_S = 0.1
+"""Seconds between two attempts to dial."""
+
+
+class NoPlannerError(Exception):
+    """No planner took the call; nothing of it was sent."""
+
+
+class UnansweredError(Exception):
+    """The call was sent, and the stream ended before its answer."""
+
+
+class PlannerLink:
+    """Send calls to the planner of the newest term."""
+
+    def __init__(
+        self,
+        member: str,
+        on_advice_order: Callable[[messages.AdviceOrder], Awaitable[messages.Advised]],
+    ) -> None:
+        self._member = member
+        self._on_advice_order = on_advice_order
+        self._numbers = itertools.count(1)
+        self._future_by_call: dict[int, asyncio.Future[messages.Answer]] = {}
+        self._writer: asyncio.StreamWriter | None = None
+        self._local: PlannerHost | None = None
+        self._dialler: asyncio.Task[None] | None = None
+        self._connected = asyncio.Event()
+        self._jobs: set[asyncio.Task[None]] = set()
+
+    def set_term(self, term: Term | None) -> None:
+        """Connect to the planner of a term; None or its own drops the stream."""
+        if self._dialler is not None:
+            self._dialler.cancel()
+            self._dialler = None
+        self._disconnect()
+        if term is not None and term.member != self._member:
+            self._dialler = asyncio.create_task(self._dial(term))
+
+    def set_local(self, host: PlannerHost | None) -> None:
+        """Call the planner in this process, or no longer."""
+        self._local = host
+        if host is not None:
+            self._connected.set()
+        elif self._writer is None:
+            self._connected.clear()
+
+    async def call(
+        self, call: messages.PlannerCall, wait_s: float, timeout_s: float
+    ) -> messages.Answer:
+        """Send a call and return its answer.
+
+        :param wait_s: seconds to wait for a planner
+        :param timeout_s: seconds to wait for the answer
+        :raises NoPlannerError: if no planner was found in time
+        :raises UnansweredError: if the call was sent and not answered
+        """
+        try:
+            async with asyncio.timeout(wait_s):
+                await self._connected.wait()
+        except TimeoutError as error:
+            raise NoPlannerError from error
+        if self._local is not None:
+            return await self._call_local(self._local, call, timeout_s)
+        return await self._call_remote(call, timeout_s)
+
+    async def _call_local(
+        self, host: PlannerHost, call: messages.PlannerCall, timeout_s: float
+    ) -> messages.Answer:
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await host.call(call)
+        except TimeoutError as error:
+            raise UnansweredError from error
+        except asyncio.CancelledError as error:
+            if host.ended.is_set():
+                raise UnansweredError from error
+            raise
+
+    async def _call_remote(
+        self, call: messages.PlannerCall, timeout_s: float
+    ) -> messages.Answer:
+        if self._writer is None:
+            raise NoPlannerError
+        number = next(self._numbers)
+        future: asyncio.Future[messages.Answer] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._future_by_call[number] = future
+        self._send(msgspec.structs.replace(call, call=number))
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await future
+        except TimeoutError as error:
+            raise UnansweredError from error
+        finally:
+            self._future_by_call.pop(number, None)
+
+    def _send(self, message: messages.AnyMessage) -> None:
+        if self._writer is not None:
+            self._writer.write(messages.encode(message))
+
+    async def _dial(self, term: Term) -> None:
+        host, _, port = term.address.rpartition(":")
+        while True:
+            try:
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    reader, writer = await asyncio.open_connection(host, int(port))
+            except (OSError, TimeoutError):
+                await asyncio.sleep(REDIAL_S)
+                continue
+            log.write("planner_connected", term=term.number, member=term.member)
+            reason = "closed"
+            try:
+                await self._serve(reader, writer)
+            except (OSError, EOFError, TimeoutError, messages.FrameError) as error:
+                reason = type(error).__name__
+            finally:
+                writer.close()
+                self._disconnect()
+            log.write("planner_disconnected", term=term.number, reason=reason)
+            await asyncio.sleep(REDIAL_S)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writer = writer
+        self._send(messages.Hello(self._member))
+        pings = asyncio.create_task(self._ping())
+        try:
+            while True:
+                async with asyncio.timeout(SILENCE_S):
+                    message = await messages.read_message(reader)
+                if isinstance(message, messages.Hello):
+                    self._connected.set()
+                elif isinstance(message, messages.Answer):
+                    self._on_answer(message)
+                elif isinstance(message, messages.AdviceOrder):
+                    self._spawn_advice(message)
+        finally:
+            pings.cancel()
+
+    async def _ping(self) -> None:
+        while True:
+            await asyncio.sleep(PING_S)
+            self._send(messages.Ping())
+
+    def _on_answer(self, answer: messages.Answer) -> None:
+        future = self._future_by_call.get(answer.call)
+        if future is not None and not future.done():
+            future.set_result(answer)
+
+    def _spawn_advice(self, order: messages.AdviceOrder) -> None:
+        job = asyncio.create_task(self._advise(order))
+        self._jobs.add(job)
+        job.add_done_callback(self._jobs.discard)
+
+    async def _advise(self, order: messages.AdviceOrder) -> None:
+        self._send(await self._on_advice_order(order))
+
+    def _disconnect(self) -> None:
+        self._writer = None
+        if self._local is None:
+            self._connected.clear()
+        for future in self._future_by_call.values():
+            if not future.done():
+                future.set_exception(UnansweredError())
+
+
+class PlannerServer:
+    """Take streams from members for the planner of this process."""
+
+    def __init__(self) -> None:
+        self._host: PlannerHost | None = None
+        self._session_by_member: dict[str, _Session] = {}
+        self._server: asyncio.Server | None = None
+        self._sessions: set[_Session] = set()
+
+    async def start(self, address: str) -> None:
+        """Listen on ``host:port``."""
+        host, _, port = address.rpartition(":")
+        self._server = await asyncio.start_server(self._accept, host, int(port))
+
+    def set_host(self, host: PlannerHost | None) -> None:
+        """Serve a planner, or none: then every stream is closed."""
+        self._host = host
+        if host is None:
+            for session in list(self._sessions):
+                session.close()
+
+    def send_advice_order(self, member: str, order: messages.AdviceOrder) -> bool:
+        """Hand an advice request to a member; return whether it is connected."""
+        session = self._session_by_member.get(member)
+        if session is None:
+            return False
+        session.send(order)
+        return True
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        host = self._host
+        if host is None:
+            writer.close()
+            return
+        session = _Session(writer, host)
+        self._sessions.add(session)
+        pings = asyncio.create_task(session.ping())
+        try:
+            while True:
+                async with asyncio.timeout(SILENCE_S):
+                    message = await messages.read_message(reader)
+                if isinstance(message, messages.Hello):
+                    self._session_by_member[message.member] = session
+                    session.member = message.member
+                    session.send(messages.Hello(""))
+                    host.on_member(message.member, True)
+                elif isinstance(message, messages.Advised):
+                    host.on_advised(session.member, message)
+                elif not isinstance(
+                    message, messages.Ping | messages.Answer | messages.AdviceOrder
+                ):
+                    session.spawn(message)
+        except (OSError, EOFError, TimeoutError, messages.FrameError) as error:
+            log.write(
+                "member_disconnected",
+                member=session.member,
+                reason=type(error).__name__,
+            )
+        finally:
+            pings.cancel()
+            self._sessions.discard(session)
+            if self._session_by_member.get(session.member) is session:
+                del self._session_by_member[session.member]
+                host.on_member(session.member, False)
+            session.close()
+
+
+class _Session:
+    """The stream of one member."""
+
+    def __init__(self, writer: asyncio.StreamWriter, host: PlannerHost) -> None:
+        self._writer = writer
+        self._host = host
+        self._calls: set[asyncio.Task[None]] = set()
+        self.member = ""
+        self.since = time.monotonic()
+
+    def send(self, message: messages.AnyMessage) -> None:
+        self._writer.write(messages.encode(message))
+
+    def spawn(self, call: messages.PlannerCall) -> None:
+        task = asyncio.create_task(self._answer(call))
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+
+    async def _answer(self, call: messages.PlannerCall) -> None:
+        with contextlib.suppress(asyncio.CancelledError):
+            self.send(await self._host.call(call))
+
+    async def ping(self) -> None:
+        while True:
+            await asyncio.sleep(PING_S)
+            self.send(messages.Ping())
+
+    def close(self) -> None:
+        self._writer.close()
--- /dev/null
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
@@ -0,0 +1,181 @@
+"""One entry process on the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import signal
+import time
+from typing import TYPE_CHECKING
+
+from jacinthloom_core.planner.books import PlannerSettings
+from jacinthloom_core.planner.election import Election
+from jacinthloom_wire.http_server import HttpServer, ServerLimits, ServerResponse
+
+from ..platform.advice_client import AdviceClient
+from ..platform.errors import FencedError, UnavailableError
+from ..platform.log_store import LogStore
+from . import log, messages
+from .elections import ElectionFollower
+from .feeds import OperatorFeed
+from .front import Front
+from .planner_host import LEASE_S, PlannerHost
+from .planner_link import PlannerLink, PlannerServer
+
+if TYPE_CHECKING:
+    from jacinthloom_core.planner.effects import AskAdvice
+    from jacinthloom_core.planner.election import Term
+    from jacinthloom_core.planner.rules import Rules
+    from jacinthloom_wire.http_server import Request
+
+    from ..platform.node_settings import NodeSettings
+
+STOP_MARGIN_S = 0.8
+"""Seconds before the kill at which the process is gone."""
+
+MAX_CONNECTIONS = 2_000
+"""Client connections: half of the descriptors of the smallest hosts."""
+
+
+class EntryProcess:
+    """Serve clients, and plan while elected."""
+
+    def __init__(self, settings: NodeSettings) -> None:
+        self._settings = settings
+        self._member = f"{settings.name}.{secrets.token_hex(3)}"
+        self._store = LogStore(settings.store_address)
+        self._advice = AdviceClient(settings.advice_address or "127.0.0.1:9")
+        self._election = Election(self._member, settings.peer_address)
+        self._elections = ElectionFollower(self._store, self._election, self._on_term)
+        self._link = PlannerLink(self._member, self._answer_advice_order)
+        self._peers = PlannerServer()
+        self._feed = OperatorFeed(self._store, self._on_rules, self._on_zones)
+        self._front = Front(self._feed, self._link)
+        self._host: PlannerHost | None = None
+        self._term: asyncio.Task[None] | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._stopping = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then hand over and return."""
+        settings = self._settings
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
+        loop.add_signal_handler(
+            signal.SIGHUP, lambda: log.write("reload", node=settings.name)
+        )
+        log.write("start", node=settings.name, member=self._member)
+        limits = ServerLimits(max_connections=MAX_CONNECTIONS, max_body_bytes=1_048_576)
+        clients = HttpServer(self._front.handle, limits)
+        readiness = HttpServer(self._answer_readiness, limits)
+        await readiness.start(settings.ready_address)
+        await self._peers.start(settings.peer_address)
+        self._spawn(self._feed.follow())
+        election = self._spawn(self._elections.follow())
+        await clients.start(settings.front_address)
+        await self._stopping.wait()
+        stop_at = time.monotonic() + settings.grace_s - STOP_MARGIN_S
+        log.write("stopping", node=settings.name)
+        clients.drain()
+        await self._hand_over()
+        while clients.connections and time.monotonic() < stop_at:
+            await asyncio.sleep(0.05)
+        election.cancel()
+        await clients.close(max(0.1, stop_at - time.monotonic()))
+        log.write("stop", node=settings.name)
+
+    def _spawn(self, work: object) -> asyncio.Task[None]:
+        task: asyncio.Task[None] = asyncio.create_task(work)  # type: ignore[arg-type]
+        self._tasks.add(task)
+        task.add_done_callback(self._on_task_done)
+        return task
+
+    def _on_task_done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.write_failure("task_failed", task.exception())
+
+    async def _hand_over(self) -> None:
+        host = self._host
+        if host is not None:
+            await host.settle(0.3)
+            host.end("planned stop")
+        await self._elections.release()
+
+    async def _answer_readiness(self, request: Request) -> ServerResponse:
+        is_ready = self._feed.has_rules.is_set() and not self._stopping.is_set()
+        return ServerResponse.from_json(200 if is_ready else 503, {})
+
+    def _on_rules(self, rules: Rules) -> None:
+        if self._host is not None and self._host.is_ready.is_set():
+            self._host.on_rules(rules)
+
+    def _on_zones(self, zones: frozenset[str]) -> None:
+        log.write("zones_out", zones=sorted(zones))
+        if self._host is not None and self._host.is_ready.is_set():
+            self._host.on_zones(zones)
+
+    # Terms
+
+    def _on_term(self, term: Term | None) -> None:
+        if self._host is not None:
+            self._host.end("another term has begun")
+        self._link.set_term(term)
+        if term is not None and term.member == self._member:
+            self._spawn(self._elections.renew())
+            self._spawn(self._plan(term))
+
+    async def _plan(self, term: Term) -> None:
+        settings = PlannerSettings(
+            term.number,
+            min(LEASE_S, self._settings.longest_lease_s),
+            self._settings.status_s,
+        )
+        host = PlannerHost(self._store, settings, self._ask_advice, self._has_authority)
+        self._host = host
+        await self._feed.has_rules.wait()
+        run = asyncio.create_task(host.run(self._feed.rules, self._feed.zones_out))
+        ready = asyncio.create_task(host.is_ready.wait())
+        try:
+            await asyncio.wait({run, ready}, return_when=asyncio.FIRST_COMPLETED)
+            if host.is_ready.is_set():
+                host.on_member(self._member, True)
+                self._peers.set_host(host)
+                self._link.set_local(host)
+            await run
+        except FencedError:
+            log.write("term_lost", term=term.number)
+        finally:
+            ready.cancel()
+            if self._host is host:
+                self._host = None
+            self._link.set_local(None)
+            self._peers.set_host(None)
+            host.close()
+
+    def _has_authority(self) -> bool:
+        return self._election.has_authority(time.monotonic())
+
+    # Advice
+
+    def _ask_advice(self, request: AskAdvice) -> None:
+        order = messages.AdviceOrder(request.step, request.workers, request.timeout_s)
+        if request.member == self._member:
+            self._spawn(self._advise_locally(order))
+        elif not self._peers.send_advice_order(request.member, order):
+            log.write("advice_not_sent", member=request.member)
+
+    async def _advise_locally(self, order: messages.AdviceOrder) -> None:
+        answer = await self._answer_advice_order(order)
+        if self._host is not None:
+            self._host.on_advised(self._member, answer)
+
+    async def _answer_advice_order(
+        self, order: messages.AdviceOrder
+    ) -> messages.Advised:
+        good = None
+        try:
+            good = await self._advice.ask(order.step, order.workers, order.timeout_s)
+        except UnavailableError as error:
+            log.write("advice_failed", step=list(order.step), reason=str(error))
+        return messages.Advised(order.step, order.workers, good)
--- /dev/null
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/log_store.py
@@ -0,0 +1,249 @@
+"""Client of the platform's log store."""
+
+from __future__ import annotations
+
+import base64
+import struct
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, TypeVar
+from urllib.parse import urlencode
+
+import msgspec
+from jacinthloom_wire.errors import TransportError
+from jacinthloom_wire.http_client import HttpClient
+
+from .errors import (
+    ConflictError,
+    FencedError,
+    SequenceError,
+    ShapeError,
+    TruncatedError,
+    UnavailableError,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from jacinthloom_core.planner.records import Record
+    from jacinthloom_wire.http_client import Response
+
+CALL_TIMEOUT_S = 1.5
+"""Seconds for one call: a slow store takes 60 times its usual 4 ms, and then some."""
+
+WAIT_MARGIN_S = 0.8
+"""Seconds beyond the wait that a read was asked for."""
+
+MAX_KEY_BYTES = 255
+
+
+@dataclass(frozen=True, slots=True)
+class Producer:
+    """A writer whose appends are ordered and fenced.
+
+    :param epoch: rises with each writer; a lower one is refused
+    :param sequence: rises by one with each append of an epoch
+    """
+
+    name: str
+    epoch: int
+    sequence: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReadRecords:
+    """What a read has returned.
+
+    :param first: offset of the first record in ``records``
+    :param end: offset behind the last record of the log
+    """
+
+    first: int
+    records: tuple[bytes, ...]
+    end: int
+
+    @property
+    def next(self) -> int:
+        """Offset to go on from."""
+        return self.first + len(self.records)
+
+
+@dataclass(frozen=True, slots=True)
+class NewestRecords:
+    """The newest value of each key, and where later changes begin."""
+
+    value_by_key: dict[str, bytes]
+    end: int
+
+
+class _AppendBody(msgspec.Struct):
+    offset: int = 0
+    end: int = 0
+    reason: str = ""
+    seq: int = 0
+    expected: int = 0
+
+
+class _Item(msgspec.Struct):
+    key: str
+    value: str = ""
+    offset: int = 0
+
+
+class _NewestBody(msgspec.Struct):
+    items: list[_Item]
+    end: int
+    hasMore: bool = False  # noqa: N815
+
+
+class _FirstBody(msgspec.Struct):
+    first: int = 0
+
+
+class LogStore:
+    """Append to logs, read them, and read the newest record of each key."""
+
+    def __init__(self, address: str) -> None:
+        self._client = HttpClient(address)
+
+    async def append(
+        self,
+        topic: str,
+        records: Iterable[bytes],
+        at: int | None = None,
+        producer: Producer | None = None,
+    ) -> int:
+        """Append records, all or none, and return the offset of the first.
+
+        :param at: the offset at which the log must end
+        :raises ConflictError: if it ends elsewhere
+        :raises FencedError: if a later epoch has written
+        :raises SequenceError: if the append does not follow the last one
+        :raises UnavailableError: if it was not done, or that is not known
+        """
+        query: dict[str, str | int] = {"topic": topic, "part": 0}
+        if at is not None:
+            query["at"] = at
+        if producer is not None:
+            query["producer"] = producer.name
+            query["epoch"] = producer.epoch
+            query["seq"] = producer.sequence
+        body = b"".join(struct.pack(">I", len(data)) + data for data in records)
+        response = await self._call("POST", "/log-append", query, body)
+        if response.status == 412:
+            raise ConflictError(_parse(response, _AppendBody).end)
+        if response.status == 409:
+            refusal = _parse(response, _AppendBody)
+            if refusal.reason == "fenced":
+                raise FencedError("a later epoch has written")
+            raise SequenceError(max(refusal.seq, refusal.expected))
+        _check(response)
+        return _parse(response, _AppendBody).offset
+
+    async def read(self, topic: str, start: int, wait_s: float = 0.0) -> ReadRecords:
+        """Read records from an offset on; wait for one if there is none.
+
+        :raises TruncatedError: if the first of them is deleted
+        :raises UnavailableError: if no answer came
+        """
+        query: dict[str, str | int] = {"topic": topic, "part": 0, "from": start}
+        if wait_s:
+            query["waitMs"] = int(wait_s * 1000)
+        timeout = CALL_TIMEOUT_S + wait_s if not wait_s else wait_s + WAIT_MARGIN_S
+        response = await self._call("GET", "/log-read", query, timeout=timeout)
+        if response.status == 410:
+            raise TruncatedError(_parse(response, _FirstBody).first)
+        _check(response)
+        return _split(response.body, start)
+
+    async def read_newest(self, topic: str) -> NewestRecords:
+        """Read the newest record of each key.
+
+        The pages are no snapshot: replay the log from ``end`` for a consistent state.
+
+        :raises UnavailableError: if no answer came
+        """
+        value_by_key: dict[str, bytes] = {}
+        end: int | None = None
+        query: dict[str, str | int] = {"topic": topic, "part": 0}
+        while True:
+            response = await self._call("GET", "/log-newest", query)
+            _check(response)
+            page = _parse(response, _NewestBody)
+            end = page.end if end is None else end
+            for item in page.items:
+                value_by_key[item.key] = base64.b64decode(item.value)
+            if not page.hasMore or not page.items:
+                return NewestRecords(value_by_key, end)
+            query["after"] = page.items[-1].key
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str | int],
+        body: bytes = b"",
+        timeout: float = CALL_TIMEOUT_S,
+    ) -> Response:
+        try:
+            return await self._client.request(
+                method, f"{path}?{urlencode(query)}", body, timeout=timeout
+            )
+        except TransportError as error:
+            raise UnavailableError(str(error), error.sent) from error
+
+    def close(self) -> None:
+        """Drop idle connections."""
+        self._client.close()
+
+
+def encode_keyed(record: Record) -> bytes:
+    """Return a keyed record as it stands in the log."""
+    key = record.key.encode()
+    if len(key) > MAX_KEY_BYTES:
+        raise ShapeError(f"a key of {len(key)} bytes")
+    return bytes([len(key)]) + key + record.value
+
+
+def decode_keyed(data: bytes) -> tuple[str, bytes]:
+    """Return key and value of a keyed record.
+
+    :raises ShapeError: if it holds no key
+    """
+    if not data or len(data) < 1 + data[0]:
+        raise ShapeError("a record without a key")
+    length = 1 + data[0]
+    try:
+        return data[1:length].decode(), data[length:]
+    except UnicodeDecodeError as error:
+        raise ShapeError("a key that is no text") from error
+
+
+_Body = TypeVar("_Body")
+
+
+def _check(response: Response) -> None:
+    if response.status != 200:
+        sentence = f"status {response.status}: {response.body[:100]!r}"
+        raise UnavailableError(sentence, is_unknown=False)
+
+
+def _parse(response: Response, kind: type[_Body]) -> _Body:
+    try:
+        return msgspec.json.decode(response.body, type=kind)
+    except msgspec.MsgspecError as error:
+        raise UnavailableError(
+            f"unreadable answer: {error}", is_unknown=True
+        ) from error
+
+
+def _split(body: bytes, start: int) -> ReadRecords:
+    if len(body) < 16:
+        raise UnavailableError("a read without its offsets", is_unknown=False)
+    end, first = struct.unpack_from(">QQ", body)
+    records = []
+    position = 16
+    while position + 4 <= len(body):
+        (length,) = struct.unpack_from(">I", body, position)
+        records.append(body[position + 4 : position + 4 + length])
+        position += 4 + length
+    return ReadRecords(max(start, first) if not records else start, tuple(records), end)
--- /dev/null
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/node_settings.py
@@ -0,0 +1,113 @@
+"""The settings file that the platform lays on each host."""
+
+from __future__ import annotations
+
+import os
+from dataclasses import dataclass
+from pathlib import Path
+
+from .errors import SettingsError
+
+PATH_VARIABLE = "JACINTHLOOM_NODE_FILE"
+"""Environment variable with the path of the file."""
+
+DEFAULT_PATH = "/etc/jacinthloom/node.conf"
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """What a process learns from its host.
+
+    :param front_address: where callers connect
+    :param ready_address: where readiness is asked
+    :param peer_address: where other processes connect
+    :param advice_address: the advice service, or empty
+    :param longest_lease_s: longest lease that a worker grants, in seconds
+    :param status_s: seconds that a final state is shown
+    :param grace_s: seconds from SIGTERM until the process is killed
+    :param apply_s: seconds until a new configuration must be in force
+    """
+
+    name: str
+    zone: str
+    front_address: str
+    ready_address: str
+    peer_address: str
+    store_address: str
+    advice_address: str
+    longest_lease_s: float
+    status_s: float
+    grace_s: float
+    apply_s: float
+
+    @classmethod
+    def from_environment(cls) -> NodeSettings:
+        """Read the file that the environment names.
+
+        :raises SettingsError: if it can't be read or lacks a field
+        """
+        return cls.from_file(Path(os.environ.get(PATH_VARIABLE, DEFAULT_PATH)))
+
+    @classmethod
+    def from_file(cls, path: Path) -> NodeSettings:
+        """Read a settings file.
+
+        :raises SettingsError: if it can't be read or lacks a field
+        """
+        try:
+            text = path.read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as error:
+            raise SettingsError(f"{path} can't be read: {error}") from error
+        return cls.from_text(text)
+
+    @classmethod
+    def from_text(cls, text: str) -> NodeSettings:
+        """Build settings from lines of the form ``a.b=value``.
+
+        :raises SettingsError: if a field is missing or of another form
+        """
+        field_by_name: dict[str, str] = {}
+        for line in text.splitlines():
+            name, equals, value = line.partition("=")
+            if equals:
+                field_by_name[name.strip()] = value.strip()
+        fields = _Fields(field_by_name)
+        first_port = fields.text("portRange").split(",")[0]
+        return cls(
+            name=fields.text("node"),
+            zone=fields.text("zone"),
+            front_address=fields.address("listen.front"),
+            ready_address=fields.address("listen.ready"),
+            peer_address=f"{fields.text('ip')}:{first_port}",
+            store_address=fields.address("platform.address"),
+            advice_address=fields.text("recommendation", ""),
+            longest_lease_s=fields.number("bounds.holdMaxMs", "10000") / 1000,
+            status_s=fields.number("bounds.status_s", "120"),
+            grace_s=fields.number("bounds.graceS", "6"),
+            apply_s=fields.number("bounds.configApplyMs", "2000") / 1000,
+        )
+
+
+class _Fields:
+    def __init__(self, field_by_name: dict[str, str]) -> None:
+        self._field_by_name = field_by_name
+
+    def text(self, name: str, default: str | None = None) -> str:
+        value = self._field_by_name.get(name, default)
+        if value is None:
+            raise SettingsError(f"{name} is missing")
+        return value
+
+    def number(self, name: str, default: str) -> float:
+        value = self._field_by_name.get(name) or default
+        try:
+            return float(value)
+        except ValueError as error:
+            raise SettingsError(f"{name} is no number: {value!r}") from error
+
+    def address(self, name: str) -> str:
+        value = self.text(name)
+        host, colon, port = value.rpartition(":")
+        if not (host and colon and port.isdigit()):
+            raise SettingsError(f"{name} is no address: {value!r}")
+        return value
--- /dev/null
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/shapes.py
@@ -0,0 +1,331 @@
+"""Bodies as the platform writes them; each is decoded once, into the core's types.
+
+Field names are the platform's. A comment says where one misleads.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import Any, Literal, TypeVar
+
+import msgspec
+from jacinthloom_core.planner.events import EndKind, EndRow, RunningRow
+from jacinthloom_core.planner.fleet import WorkerEntry
+from jacinthloom_core.planner.rules import AdvicePolicy, Queue, Rules, Tenant
+from jacinthloom_core.planner.specs import JobSpec, StepId, StepSpec, TaskId
+from jacinthloom_core.resources import Resources
+
+from .errors import ShapeError
+
+
+class Amount(msgspec.Struct):
+    """Resources of a worker, a task or a limit."""
+
+    cpu: float = 0
+    memMb: float = 0  # noqa: N815
+    gpu: float = 0
+
+    def to_resources(self) -> Resources:
+        """Return whole amounts, rounded up."""
+        return Resources(
+            math.ceil(self.cpu), math.ceil(self.memMb), math.ceil(self.gpu)
+        )
+
+
+class StepBody(msgspec.Struct):
+    """A step of a submitted job."""
+
+    count: int = 0
+    cpu: float = 0
+    memMb: float = 0  # noqa: N815
+    gpu: float = 0
+    estRuntimeMs: float = 0  # noqa: N815
+    after: list[int] = []
+    checkpoints: bool = False
+    gang: bool = False
+    sameRack: bool = False  # noqa: N815
+    constraints: str = ""  # one label that the worker must have
+    affinity: str = ""  # the rack that holds the data
+    antiAffinity: int = 0  # noqa: N815  # most tasks of the step on one worker
+    speculative: bool = False
+    longRunning: bool = False  # noqa: N815
+    image: str = ""
+    targetMs: float = 0  # noqa: N815
+    fills: bool = False
+    mayMiss: int = 0  # noqa: N815
+
+    def to_spec(self) -> StepSpec:
+        """Return the core's type."""
+        return StepSpec(
+            count=self.count,
+            size=Amount(self.cpu, self.memMb, self.gpu).to_resources(),
+            estimate_s=self.estRuntimeMs / 1000,
+            after=tuple(self.after),
+            checkpoints=self.checkpoints,
+            gang=self.gang,
+            same_rack=self.sameRack,
+            label=self.constraints,
+            data_rack=self.affinity,
+            most_per_worker=self.antiAffinity,
+            speculative=self.speculative,
+            lasting=self.longRunning,
+            image=self.image,
+            target_s=self.targetMs / 1000,
+            fills=self.fills,
+            may_miss=self.mayMiss,
+        )
+
+
+class JobBody(msgspec.Struct):
+    """A submitted job."""
+
+    spec: str  # handed on to each task as it is
+    steps: list[StepBody]
+    startAtMs: int = 0  # noqa: N815
+    periodMs: int = 0  # noqa: N815
+    repeatCount: int = 0  # noqa: N815
+
+
+class AdviceBody(msgspec.Struct):
+    """A queue's advice policy."""
+
+    decideMs: float = 0  # noqa: N815
+    perItemMs: float = 0  # noqa: N815
+    validityMs: float = 0  # noqa: N815
+
+
+class RouteBody(msgspec.Struct):
+    """A queue."""
+
+    name: str
+    host: str
+    pathPrefix: str  # noqa: N815
+    service: str
+    priority: int = 0
+    maxAttempts: int = 1  # noqa: N815
+    stretch: float = 1.0
+    targetLatencyMs: float = 0  # noqa: N815
+    recommendation: AdviceBody | None = None
+    authExempt: bool = False  # noqa: N815
+
+    def to_queue(self) -> Queue:
+        """Return the core's type."""
+        advice = None
+        if self.recommendation is not None:
+            body = self.recommendation
+            advice = AdvicePolicy(
+                body.decideMs / 1000, body.perItemMs / 1000, body.validityMs / 1000
+            )
+        return Queue(
+            self.name,
+            self.host,
+            self.pathPrefix,
+            self.service,
+            self.priority,
+            self.maxAttempts,
+            self.stretch,
+            self.targetLatencyMs / 1000,
+            self.authExempt,
+            advice,
+        )
+
+
+class TenantBody(msgspec.Struct):
+    """A client account."""
+
+    name: str
+    apiKeys: list[str] = []  # noqa: N815
+    weight: float = 1.0
+    upperLimit: Amount = msgspec.field(default_factory=Amount)  # noqa: N815
+
+
+class LimitsBody(msgspec.Struct):
+    """Bounds on calls."""
+
+    maxBodyBytes: int = 262_144  # noqa: N815
+
+
+class ConfigurationBody(msgspec.Struct):
+    """The operators' configuration."""
+
+    version: int
+    routes: list[RouteBody] = []
+    tenants: list[TenantBody] = []
+    limits: LimitsBody = msgspec.field(default_factory=LimitsBody)
+
+    def to_rules(self) -> Rules:
+        """Return the core's type."""
+        return Rules(
+            version=self.version,
+            queue_by_name={route.name: route.to_queue() for route in self.routes},
+            tenant_by_name={
+                tenant.name: Tenant(
+                    tenant.name, tenant.weight, tenant.upperLimit.to_resources()
+                )
+                for tenant in self.tenants
+            },
+            tenant_by_key={
+                key: tenant.name for tenant in self.tenants for key in tenant.apiKeys
+            },
+            max_body_bytes=self.limits.maxBodyBytes,
+        )
+
+
+class WorkerBody(msgspec.Struct):
+    """What a worker says of itself."""
+
+    service: str
+    address: str
+    zone: str
+    state: Literal["ready", "draining"]
+    capacity: Amount
+    labels: list[str] = []  # the kind, then the rack
+    born: int = 0
+    remainingMs: float | None = None  # noqa: N815
+
+    def to_entry(self, worker: str) -> WorkerEntry:
+        """Return the core's type."""
+        remaining_s = None if self.remainingMs is None else self.remainingMs / 1000
+        return WorkerEntry(
+            worker,
+            self.service,
+            self.address,
+            self.zone,
+            self.state == "ready",
+            self.capacity.to_resources(),
+            frozenset(self.labels),
+            self.labels[-1] if len(self.labels) > 1 else "",
+            self.born,
+            remaining_s,
+        )
+
+
+class ClockBody(msgspec.Struct):
+    """A worker's answer to an order."""
+
+    clockMs: int = 0  # noqa: N815
+    reason: str = ""
+
+
+class HoldBody(msgspec.Struct):
+    """A worker's answer to a hold."""
+
+    clockMs: int  # noqa: N815
+    running: list[list[Any]] = []
+    endedRuns: list[list[Any]] = []  # noqa: N815
+    born: int = 1
+
+    def to_running(self) -> tuple[RunningRow, ...]:
+        """Return the rows of what runs."""
+        rows = []
+        for name, run, checkpoint, percent, *rest in self.running:
+            figure = float(rest[0]) if rest else 0.0
+            rows.append(
+                RunningRow(parse_task(name), run, checkpoint, int(percent), figure)
+            )
+        return tuple(rows)
+
+    def to_ends(self) -> tuple[EndRow, ...]:
+        """Return the rows of what has ended, in order."""
+        rows = [
+            EndRow(number, parse_task(name), run, EndKind(how), checkpoint)
+            for number, name, run, how, checkpoint, *_ in self.endedRuns
+        ]
+        return tuple(sorted(rows, key=lambda row: row.number))
+
+
+class AdvisedBody(msgspec.Struct):
+    """The advice service's answer."""
+
+    good: list[tuple[str, str]]
+
+
+def format_task(task: TaskId) -> str:
+    """Return a task's name on the wire."""
+    return f"{task.job}.{task.occurrence}.{task.step}.{task.position}"
+
+
+def format_step(step: StepId) -> str:
+    """Return a step's name on the wire."""
+    return f"{step.job}.{step.occurrence}.{step.step}"
+
+
+def parse_task(name: str) -> TaskId:
+    """Return the task that a name on the wire means.
+
+    :raises ShapeError: if it has another form
+    """
+    try:
+        job, occurrence, step, position = name.split(".")
+        return TaskId(job, int(occurrence), int(step), int(position))
+    except (ValueError, AttributeError) as error:
+        raise ShapeError(f"no task is named {name!r}") from error
+
+
+def decode_job(body: bytes, job: str, queue: str, tenant: str, now_ms: int) -> JobSpec:
+    """Return the job in the body of a submission.
+
+    :raises ShapeError: if it can't be read
+    """
+    decoded = _decode(body, JobBody)
+    return JobSpec(
+        id=job,
+        queue=queue,
+        tenant=tenant,
+        payload=decoded.spec,
+        steps=tuple(step.to_spec() for step in decoded.steps),
+        received_ms=now_ms,
+        first_due_ms=decoded.startAtMs,
+        period_ms=decoded.periodMs,
+        occurrences=decoded.repeatCount,
+    )
+
+
+def decode_rules(body: bytes) -> Rules:
+    """Return a configuration.
+
+    :raises ShapeError: if it can't be read
+    """
+    return _decode(body, ConfigurationBody).to_rules()
+
+
+def decode_worker(worker: str, body: bytes) -> WorkerEntry:
+    """Return a worker's entry.
+
+    :raises ShapeError: if it can't be read, or lacks a field
+    """
+    return _decode(body, WorkerBody).to_entry(worker)
+
+
+def decode_hold(body: bytes) -> HoldBody:
+    """Return a worker's lists.
+
+    :raises ShapeError: if they can't be read
+    """
+    return _decode(body, HoldBody)
+
+
+def decode_clock(body: bytes) -> ClockBody:
+    """Return a worker's answer to an order.
+
+    :raises ShapeError: if it can't be read
+    """
+    return _decode(body, ClockBody) if body else ClockBody()
+
+
+def decode_advice(body: bytes) -> AdvisedBody:
+    """Return the advice service's answer.
+
+    :raises ShapeError: if it can't be read
+    """
+    return _decode(body, AdvisedBody)
+
+
+_Shape = TypeVar("_Shape")
+
+
+def _decode(body: bytes, kind: type[_Shape]) -> _Shape:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise ShapeError(str(error)) from error
--- /dev/null
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/worker_client.py
@@ -0,0 +1,158 @@
+"""Orders to one worker."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from jacinthloom_core.planner.events import StartOutcome
+from jacinthloom_wire.errors import TransportError
+from jacinthloom_wire.http_client import HttpClient
+
+from .errors import FencedError, ShapeError, UnavailableError
+from .shapes import decode_clock, decode_hold, format_task
+
+if TYPE_CHECKING:
+    from jacinthloom_core.planner.effects import Hold, Pace, Start, Stop
+    from jacinthloom_core.planner.events import EndRow, RunningRow
+    from jacinthloom_wire.http_client import Response
+
+ORDER_TIMEOUT_S = 0.8
+"""Seconds for an order: workers answer within milliseconds unless they are cut off."""
+
+HOLD_MARGIN_S = 0.6
+"""Seconds beyond the wait that a hold was asked for."""
+
+OUTCOME_BY_REASON = {
+    "fence": StartOutcome.FENCED,
+    "old": StartOutcome.OLD,
+    "late": StartOutcome.LATE,
+    "room": StartOutcome.NO_ROOM,
+    "ticket": StartOutcome.BAD_TICKET,
+}
+"""What a refusal's reason means."""
+
+OUTCOME_BY_STATUS = {
+    200: StartOutcome.STARTED,
+    400: StartOutcome.INVALID,
+    421: StartOutcome.OTHER_LIFE,
+    429: StartOutcome.UNHEALTHY,
+    503: StartOutcome.UNHEALTHY,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """What a worker lists.
+
+    :param life: start of its incarnation, Unix milliseconds
+    """
+
+    life: int
+    clock_ms: int
+    running: tuple[RunningRow, ...]
+    ends: tuple[EndRow, ...]
+
+
+class WorkerClient:
+    """Send orders to one worker over kept connections."""
+
+    def __init__(self, worker: str, address: str) -> None:
+        self.address = address
+        self._headers = (
+            ("Content-Type", "application/json"),
+            ("X-Jacinthloom-Expect-Instance", worker),
+        )
+        self._client = HttpClient(address)
+
+    async def hold(self, hold: Hold) -> Listing:
+        """Renew the leases and return the worker's lists.
+
+        :raises FencedError: if the worker has seen a higher token
+        :raises UnavailableError: if no list came
+        """
+        body: dict[str, Any] = {"fencingToken": hold.token, "ackCursor": hold.cursor}
+        if hold.deadline_ms:
+            body["deadlineMs"] = hold.deadline_ms
+        if hold.wait_s:
+            body["waitMs"] = int(hold.wait_s * 1000)
+        response = await self._post("/hold", body, hold.wait_s + HOLD_MARGIN_S)
+        if response.status == 409:
+            raise FencedError("the worker has seen a higher token")
+        if response.status != 200:
+            raise UnavailableError(f"status {response.status}", is_unknown=False)
+        try:
+            decoded = decode_hold(response.body)
+            running, ends = decoded.to_running(), decoded.to_ends()
+        except (ShapeError, ValueError, TypeError) as error:
+            raise UnavailableError(f"unreadable lists: {error}", True) from error
+        return Listing(decoded.born, decoded.clockMs, running, ends)
+
+    async def start(self, start: Start) -> StartOutcome:
+        """Order a start and return how it was answered."""
+        body: dict[str, Any] = {
+            "task": format_task(start.task),
+            "run": start.run,
+            "spec": start.payload,
+            "deadlineMs": start.deadline_ms,
+            "fencingToken": start.token,
+        }
+        if start.checkpoint:
+            body["checkpoint"] = start.checkpoint
+        if start.ticket:
+            body["ticket"] = start.ticket
+        try:
+            response = await self._post("/run-start", body, ORDER_TIMEOUT_S)
+        except UnavailableError as error:
+            return StartOutcome.UNKNOWN if error.is_unknown else StartOutcome.NOT_SENT
+        if response.status == 409:
+            return _read_refusal(response)
+        return OUTCOME_BY_STATUS.get(response.status, StartOutcome.UNKNOWN)
+
+    async def stop(self, stop: Stop) -> bool:
+        """Order a stop and return whether the worker has confirmed it."""
+        body = {
+            "task": format_task(stop.task),
+            "run": stop.run,
+            "fencingToken": stop.token,
+        }
+        return await self._order("/run-stop", body)
+
+    async def pace(self, pace: Pace) -> bool:
+        """Set the share of its speed that a task works at."""
+        body = {
+            "task": format_task(pace.task),
+            "run": pace.run,
+            "percent": pace.percent,
+            "fencingToken": pace.token,
+        }
+        return await self._order("/pace", body)
+
+    async def _order(self, path: str, body: dict[str, Any]) -> bool:
+        try:
+            response = await self._post(path, body, ORDER_TIMEOUT_S)
+        except UnavailableError:
+            return False
+        return response.status == 200
+
+    async def _post(self, path: str, body: dict[str, Any], timeout: float) -> Response:
+        encoded = msgspec.json.encode(body)
+        try:
+            return await self._client.request(
+                "POST", path, encoded, self._headers, timeout
+            )
+        except TransportError as error:
+            raise UnavailableError(str(error), error.sent) from error
+
+    def close(self) -> None:
+        """Drop idle connections."""
+        self._client.close()
+
+
+def _read_refusal(response: Response) -> StartOutcome:
+    try:
+        reason = decode_clock(response.body).reason
+    except ShapeError:
+        return StartOutcome.UNKNOWN
+    return OUTCOME_BY_REASON.get(reason, StartOutcome.UNKNOWN)
--- a/packages/jacinthloom-wire/src/jacinthloom_wire/http_server.py
+++ b/packages/jacinthloom-wire/src/jacinthloom_wire/http_server.py
@@ -89,6 +89,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._idle_writers: set[asyncio.StreamWriter] = set()
         self._closing = False
+        self._draining = False
         self.connections = 0
         self.refused = 0
 
@@ -99,6 +100,10 @@
         bound = self._server.sockets[0].getsockname()
         return f"{bound[0]}:{bound[1]}"
 
+    def drain(self) -> None:
+        """Go on serving, but ask clients to leave with each answer."""
+        self._draining = True
+
     async def close(self, grace_s: float = 5.0) -> None:
         """Stop accepting, let requests in flight end, then drop connections."""
         self._closing = True
@@ -156,7 +161,8 @@
             if request is None:
                 return
             response = await self._handle(request)
-            await _send(state, writer, response, self._closing)
+            is_last = self._closing or self._draining
+            await _send(state, writer, response, is_last)
             if state.our_state is not h11.DONE:
                 return
             if state.their_state is not h11.DONE:
