Settle loaded placements by the first list under the new token

Cause: a placement that its planner stored but never ordered looked, after a takeover, like a start without an answer, which only a stop settles. The log said of no step why it waited.

Change: what a planner loads counts as barred from its load on, since the list that settles it was asked for with a higher token. Requests for advice are given up after twice their time, and a member that joins anew frees its lane. Steps that wait are explained in the log.

Ruled out: lost records (the job was among those loaded), advice that never came.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/advice.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/advice.py
@@ -65,6 +65,14 @@
     policy: AdvicePolicy = field(compare=False)
 
 
+@dataclass(frozen=True, slots=True)
+class _Asked:
+    """A request that has left through a member."""
+
+    step: StepId
+    give_up_at: float
+
+
 class AdviceDesk:
     """Requests for advice, one at a time through each member.
 
@@ -73,7 +81,7 @@
 
     def __init__(self) -> None:
         self.advice_by_step: dict[StepId, StepAdvice] = {}
-        self._step_by_member: dict[str, StepId | None] = {}
+        self._asked_by_member: dict[str, _Asked | None] = {}
         self._waiting: list[_Request] = []
         self._count = 0
 
@@ -99,31 +107,44 @@
         request = _Request(urgency, self._count, step, asked, policy)
         heapq.heappush(self._waiting, request)
 
-    def dispatch(self) -> list[AskAdvice]:
+    def dispatch(self, now: float) -> list[AskAdvice]:
         """Return the requests that may leave now."""
-        free = [name for name, step in self._step_by_member.items() if step is None]
+        free = [name for name, asked in self._asked_by_member.items() if not asked]
         effects = []
         while free and self._waiting:
             request = heapq.heappop(self._waiting)
             if request.step not in self.advice_by_step:
                 continue
             member = free.pop()
-            self._step_by_member[member] = request.step
             policy = request.policy
             duration = policy.base_s + policy.per_worker_s * len(request.workers)
             timeout = duration + ANSWER_MARGIN_S
+            asked = _Asked(request.step, now + 2 * timeout)
+            self._asked_by_member[member] = asked
             effects.append(AskAdvice(member, request.step, request.workers, timeout))
         return effects
 
-    def add_member(self, member: str) -> None:
-        """Count on a member that can ask."""
-        self._step_by_member.setdefault(member, None)
+    def expire(self, now: float) -> list[str]:
+        """Give up requests that no member has answered; return the members."""
+        late = [
+            member
+            for member, asked in self._asked_by_member.items()
+            if asked is not None and now > asked.give_up_at
+        ]
+        for member in late:
+            self.add_member(member, now)
+        return late
+
+    def add_member(self, member: str, now: float) -> None:
+        """Count on a member that can ask; what it was asked before is given up."""
+        self.remove_member(member, now)
+        self._asked_by_member[member] = None
 
     def remove_member(self, member: str, now: float) -> None:
         """Give up what a member was asked."""
-        step = self._step_by_member.pop(member, None)
-        if step is not None:
-            self._mark_failed(step, now)
+        asked = self._asked_by_member.pop(member, None)
+        if asked is not None:
+            self._mark_failed(asked.step, now)
 
     def on_given(
         self,
@@ -133,7 +154,7 @@
         ticket_by_worker: dict[str, Ticket],
     ) -> None:
         """Take an answer over."""
-        self._free(member)
+        self._free(member, step)
         advice = self.advice_by_step.get(step)
         if advice is None:
             return
@@ -144,12 +165,13 @@
 
     def on_failed(self, member: str, step: StepId, now: float) -> None:
         """Repeat a request later."""
-        self._free(member)
+        self._free(member, step)
         self._mark_failed(step, now)
 
-    def _free(self, member: str) -> None:
-        if member in self._step_by_member:
-            self._step_by_member[member] = None
+    def _free(self, member: str, step: StepId) -> None:
+        asked = self._asked_by_member.get(member)
+        if asked is not None and asked.step == step:
+            self._asked_by_member[member] = None
 
     def _mark_failed(self, step: StepId, now: float) -> None:
         advice = self.advice_by_step.get(step)
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/placing.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/placing.py
@@ -16,6 +16,7 @@
     from .jobs import StepRun, Task
     from .order import OrderPolicy, Rank
     from .rules import Queue
+    from .specs import StepId
 
 URGENT_PRIORITY = 0
 """Priority of queues whose steps may use room that is kept for a gang."""
@@ -28,17 +29,20 @@
         self._books = books
         self._order = order or LatestStartOrder()
         self._kept: set[str] = set()
+        self.reason_by_step: dict[StepId, str] = {}
+        """Why each step that waits was not placed in the last pass."""
 
     def run(self, now: float) -> None:
         """Place what can be placed, and ask for the advice that is missing."""
         books = self._books
         self._kept = set()
+        self.reason_by_step = {}
         usable = [w for w in books.worker_by_id.values() if self._is_usable(w, now)]
         for rank, step, queue in self._sort_ready():
             waiting = step.waiting()
             if waiting:
                 self._serve(step, queue, waiting, usable, rank, now)
-        books.effects.extend(books.desk.dispatch())
+        books.effects.extend(books.desk.dispatch(now))
 
     def _is_usable(self, worker: Worker, now: float) -> bool:
         if not worker.is_usable(now) or worker.entry is None:
@@ -74,6 +78,9 @@
         ]
         advice = self._books.desk.find(step.id) if queue.advice else None
         if advice is not None and not advice.is_good_by_worker:
+            self.reason_by_step[step.id] = (
+                f"no advice yet on {len(fitting)} workers of {len(usable)}"
+            )
             self._ask(step, queue, advice, fitting, rank, now)
             return
         good = [w for w in fitting if advice is None or advice.may_be_good(w)]
@@ -83,7 +90,9 @@
         allowed = self._books.count_allowed(tenant, spec.size)
         if spec.gang:
             self._serve_gang(step, queue, waiting, good, advice, allowed, rank, now)
-        elif allowed:
+        elif not allowed:
+            self.reason_by_step[step.id] = "its client account is at its limit"
+        else:
             self._serve_tasks(step, queue, waiting[:allowed], good, advice, rank, now)
 
     def _serve_tasks(
@@ -104,6 +113,9 @@
             return
         left = [task for task in waiting if not task.worker]
         wanted = place_tasks(step, left, good)
+        self.reason_by_step[step.id] = (
+            f"{len(wanted)} of {len(left)} tasks have room without a ticket"
+        )
         if wanted:
             names = {worker.id: worker for _, worker in wanted}
             self._ask(step, queue, advice, list(names.values()), rank, now)
@@ -119,6 +131,10 @@
         rank: Rank,
         now: float,
     ) -> None:
+        self.reason_by_step[step.id] = (
+            f"gang: {len(waiting)} of {step.spec.count} are free to start,"
+            f" {allowed} allowed"
+        )
         if len(waiting) < step.spec.count or allowed < step.spec.count:
             return
         ticketed = [w for w in good if advice is None or advice.find_ticket(w, now)]
@@ -129,7 +145,9 @@
             for task, worker in placed:
                 task.checkpoint = checkpoint
                 self._commit(task, worker, step.run)
+            del self.reason_by_step[step.id]
             return
+        self.reason_by_step[step.id] = "there is no room for the whole gang"
         wanted = place_gang(step, waiting, good)
         if wanted and advice is not None:
             names = {worker.id: worker for _, worker in wanted}
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
@@ -27,6 +27,12 @@
 FENCE_DELAY_S = 2.5
 """Seconds for which an earlier planner may renew leases before a fence stops it."""
 
+EXPLAIN_INTERVAL_S = 2.0
+"""Seconds between two logs of what waits and why."""
+
+EXPLAINED_STEPS = 10
+"""Waiting steps that are explained each time."""
+
 TICK_S = 0.05
 """Seconds between two ticks: bounds the delay of retries and due times."""
 
@@ -41,6 +47,7 @@
         self._runs = Runs(books, self._intake)
         self._placing = Placing(books)
         self._dropped_at = 0.0
+        self._explained_at = 0.0
         self._reduce_by_type: dict[type[Event], Callable[..., None]] = {
             events.JobSubmitted: self._intake.on_submitted,
             events.CancelRequested: self._intake.on_cancel,
@@ -55,7 +62,7 @@
             events.StopAnswered: self._runs.on_stop_answered,
             events.AdviceGiven: self._on_advice,
             events.AdviceFailed: self._on_advice_failed,
-            events.MemberJoined: lambda e: books.desk.add_member(e.member),
+            events.MemberJoined: lambda e: books.desk.add_member(e.member, e.now),
             events.MemberLeft: lambda e: books.desk.remove_member(e.member, e.now),
             events.Tick: self._on_tick,
             events.FlushDue: lambda e: None,
@@ -81,6 +88,7 @@
                 life = task.life
                 books.place(task, worker)
                 task.life = life
+                task.barred_at = float("-inf")  # the new token bars older orders
             self._intake.open(job)
             for occurrence in job.occurrences.values():
                 books.open_steps(occurrence)
@@ -185,9 +193,20 @@
         for job in list(books.timed_by_id.values()):
             self._intake.open_due(job)
         self._runs.expire_leases(event.now)
+        for member in books.desk.expire(event.now):
+            books.note("advice_expired", member=member)
         self._repeat_starts(event.now)
+        self._explain_waiting(event.now)
         self._drop_old(event.now)
 
+    def _explain_waiting(self, now: float) -> None:
+        if now - self._explained_at < EXPLAIN_INTERVAL_S:
+            return
+        self._explained_at = now
+        reasons = self._placing.reason_by_step
+        for step_id, reason in list(reasons.items())[:EXPLAINED_STEPS]:
+            self.books.note("step_waits", step=list(step_id), reason=reason)
+
     def _repeat_starts(self, now: float) -> None:
         for task in list(self.books.unsure.values()):
             if now < task.retry_at or task.state is not TaskState.STARTING:
