--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/books.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/books.py
@@ -30,12 +30,14 @@
 
     :param term: number of this planner's election; rises with each
     :param lease_s: seconds that work goes on without word from the planner
+    :param longest_lease_s: longest lease that a worker grants
     :param status_s: seconds that the final state of a job is kept
     """
 
     term: int
     lease_s: float
     status_s: float
+    longest_lease_s: float = 10.0
 
 
 class Books:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/fleet.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/fleet.py
@@ -50,6 +50,8 @@
     :param lease_until: time at which everything ordered so far has lapsed for certain
     :param cursor: number of the last end that is stored
     :param seen_end: number of the last end that was reduced
+    :param told_cursor: the cursor that it has confirmed
+    :param sent_cursor: the cursor that the hold in flight carries; 0 for none
     :param hold_due: time at which the next hold may be sent
     :param clock_ms: the worker's clock, at the steady time ``clock_at``
     :param foreign: runs that it lists and that were not placed there
@@ -66,6 +68,8 @@
     lease_until: float = 0.0
     cursor: int = 0
     seen_end: int = 0
+    told_cursor: int = 0
+    sent_cursor: int = 0
     is_holding: bool = False
     hold_due: float = 0.0
     answered_at: float = float("-inf")
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/runs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/runs.py
@@ -72,12 +72,16 @@
             worker.extend_lease(now, lease_s)
         waits = renews and worker.seen_end == worker.cursor
         worker.is_holding = True
+        # A cursor is sent until it is confirmed, and not after a failure: a new
+        # incarnation would take it for one of its own, and forget its ends.
+        is_news = worker.cursor > worker.told_cursor and not worker.failed_holds
+        worker.sent_cursor = worker.cursor if is_news else 0
         self._books.effects.append(
             Hold(
                 worker.id,
                 worker.entry.address,
                 worker.token,
-                worker.cursor,
+                worker.sent_cursor,
                 HOLD_WAIT_S if waits else 0.0,
                 deadline_ms,
             )
@@ -107,6 +111,7 @@
         if not self._check_life(worker, event):
             return
         worker.answered_at = event.now
+        worker.told_cursor = max(worker.told_cursor, worker.sent_cursor)
         worker.is_lost = False
         if worker.fenced_life != event.life:
             worker.fenced_life = event.life
@@ -120,9 +125,13 @@
             is_first = worker.life == 0
             worker.life = event.life
             worker.cursor = 0
+            worker.told_cursor = 0
             worker.seen_end = 0
             self._books.note("worker_life", worker=worker.id, life=event.life)
             if not is_first:
+                # An order for the one before may have set a lease by its clock.
+                longest_s = self._books.settings.longest_lease_s
+                worker.extend_lease(event.now, longest_s)
                 worker.token += 1
                 return False
         return event.token == worker.token
