Replace a planner that can't write within a second

Change: a planner whose renewals fail says so to the members, who may claim at once if the store answers them; a host that refuses connections is replaced after 0.6 s; a member that starts claims at once if the last renewal is old; renewals every 0.4 s. Retry-After grows with the length of the outage.

Ruled out: shorter waits for all (a slow store answers after half a second).

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
@@ -12,20 +12,27 @@
 from dataclasses import dataclass
 from enum import Enum
 
-CLAIM_AFTER_S = 1.8
-"""Seconds without a renewal after which a claim may be tried: three renewals."""
+CLAIM_AFTER_S = 1.4
+"""Seconds without a renewal after which a claim may be tried: three renewals, of
+which a slow store delays each by half a second."""
 
-AUTHORITY_S = 1.5
+SUSPECT_CLAIM_AFTER_S = 0.6
+"""The same for a planner whose host refuses connections: its process is gone."""
+
+ABDICATION_S = 1.0
+"""Seconds for which a planner's word that it can't write lets others claim."""
+
+AUTHORITY_S = 1.1
 """Seconds after a renewal was sent for which the planner counts on it: less than
 ``CLAIM_AFTER_S`` by more than clocks differ and timers are late."""
 
-RENEW_S = 0.6
+RENEW_S = 0.4
 """Seconds between two renewals."""
 
-READ_WAIT_S = 0.7
+READ_WAIT_S = 0.45
 """Seconds that a read waits for a record: a little longer than between two renewals."""
 
-READ_GAP_S = 1.6
+READ_GAP_S = 1.4
 """Seconds without an answer after which the reading has a break."""
 
 
@@ -43,11 +50,13 @@
 
     :param member: incarnation that wrote it
     :param address: where it takes streams from other members
+    :param wall_ms: Unix time of writing, in milliseconds
     """
 
     act: Act
     member: str
     address: str
+    wall_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +83,8 @@
         self._answered_at = float("-inf")
         self._quiet_since = float("inf")
         self._renewed_at = float("-inf")
+        self._suspect_term = 0
+        self._abdicated_at = float("-inf")
 
     @property
     def is_planner(self) -> bool:
@@ -81,13 +92,19 @@
         return self.term is not None and self.term.member == self.member
 
     def on_read(
-        self, records: list[tuple[int, ElectionRecord | None]], end: int, now: float
+        self,
+        records: list[tuple[int, ElectionRecord | None]],
+        end: int,
+        now: float,
+        wall_ms: int = 0,
     ) -> None:
         """Take over what was read.
 
         :param records: offset and record; None for one that can't be read
         :param end: offset behind the last one
+        :param wall_ms: Unix time now; tells a starting member how old records are
         """
+        is_first = self._answered_at == float("-inf")
         if now - self._answered_at > READ_GAP_S:
             self._quiet_since = now
         self._answered_at = now
@@ -96,11 +113,15 @@
                 self._reduce(offset, record)
         if records:
             self._quiet_since = now
+        if is_first and records and records[-1][1] is not None and wall_ms:
+            age_s = (wall_ms - records[-1][1].wall_ms) / 1000
+            self._quiet_since = now - max(0.0, min(age_s, CLAIM_AFTER_S))
         self.end = max(self.end, end)
 
     def _reduce(self, offset: int, record: ElectionRecord) -> None:
         if record.act is Act.CLAIM:
             self.term = Term(offset + 1, record.member, record.address)
+            self._abdicated_at = float("-inf")
             return
         is_holder = self.term is not None and record.member == self.term.member
         if is_holder and record.act is Act.RELEASE:
@@ -110,7 +131,24 @@
         """Whether no planner has been heard of for long enough."""
         if self.is_planner or now - self._answered_at > READ_GAP_S:
             return False
-        return self.term is None or now - self._quiet_since >= CLAIM_AFTER_S
+        if self.term is None or now - self._abdicated_at < ABDICATION_S:
+            return True
+        is_suspect = self.term.number == self._suspect_term
+        patience_s = SUSPECT_CLAIM_AFTER_S if is_suspect else CLAIM_AFTER_S
+        return now - self._quiet_since >= patience_s
+
+    def on_refused(self, term: int) -> None:
+        """Note that the host of a term's planner refuses connections."""
+        self._suspect_term = term
+
+    def on_abdicated(self, term: int, now: float) -> None:
+        """Note that the planner of a term can't write to the store."""
+        if self.term is not None and self.term.number == term:
+            self._abdicated_at = now
+
+    def abdicate(self) -> None:
+        """Count on this member's renewals no longer, until the next one."""
+        self._renewed_at = float("-inf")
 
     def on_claimed(self, offset: int, sent_at: float) -> None:
         """Note that this member's claim was appended."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/intake.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/intake.py
@@ -7,6 +7,7 @@
 from .effects import Reply
 from .fleet import fits_when_empty
 from .jobs import FINAL_STATES, Job, JobState, TaskState
+from .retry_after import compute_retry_after_s
 
 if TYPE_CHECKING:
     from .books import Books
@@ -18,8 +19,6 @@
 GONE = 410
 UNAVAILABLE = 503
 
-RETRY_STORE_S = 1
-"""Seconds to come back after while the store is unreachable; its outages are short."""
 
 EARLY_S = 0.1
 """Seconds by which an occurrence may start before its time: well within the bound."""
@@ -42,7 +41,9 @@
         if books.ledger.is_stalled(event.now):
             books.note("job_refused", job=spec.id, reason="store unreachable")
             reason = "the store can't be written; the job was not accepted"
-            books.effects.append(Reply(event.call, UNAVAILABLE, reason, RETRY_STORE_S))
+            stalled_s = event.now - books.ledger.stalled_since
+            retry_s = compute_retry_after_s(stalled_s)
+            books.effects.append(Reply(event.call, UNAVAILABLE, reason, retry_s))
             return
         problem = self._find_misfit(spec)
         if problem:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/ledger.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/ledger.py
@@ -78,6 +78,11 @@
         """Whether the store has left a batch unanswered for long."""
         return self.in_flight is not None and now - self.in_flight.sent_at > STALL_S
 
+    @property
+    def stalled_since(self) -> float:
+        """Time since which the batch in flight waits; infinite if there is none."""
+        return self.in_flight.sent_at if self.in_flight else float("inf")
+
     def may_flush(self, now: float) -> bool:
         """Whether a batch may leave."""
         return self.in_flight is None and now >= self.flush_due
--- /dev/null
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/retry_after.py
@@ -0,0 +1,21 @@
+"""When a caller whose job was refused should come back."""
+
+from __future__ import annotations
+
+SHORTEST_S = 1
+"""Shortest time to come back after; the header counts whole seconds."""
+
+LONGEST_S = 4
+"""Longest time: a caller with four tries then outlasts an outage of ten seconds, and
+finds the system within seconds of its return."""
+
+
+def compute_retry_after_s(outage_s: float) -> int:
+    """Return when to come back, in whole seconds.
+
+    An outage that has lasted a while is likely to last about as long again, so callers
+    spread their few tries over it.
+
+    :param outage_s: seconds since the outage began
+    """
+    return int(max(SHORTEST_S, min(LONGEST_S, round(outage_s))))
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/elections.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/elections.py
@@ -26,9 +26,13 @@
 
     from ..platform.log_store import LogStore
 
-RETRY_S = 0.1
+RETRY_S = 0.15
 """Seconds until a call that failed is repeated."""
 
+ABDICATE_AFTER_S = 0.8
+"""Seconds since the last renewal after which a planner that can't write says so: a slow
+store answers within half a second."""
+
 
 class ElectionFollower:
     """Keep one member's knowledge of the election, and its claim."""
@@ -38,12 +42,15 @@
         store: LogStore,
         election: Election,
         on_term: Callable[[Term | None], None],
+        on_abdicated: Callable[[], None],
     ) -> None:
         self._store = store
+        self._on_abdicated = on_abdicated
         self._election = election
         self._on_term = on_term
         self._told: Term | None = None
         self._position = 0
+        self._is_reachable = True
         self.may_stand = True
         """Whether this member may claim."""
 
@@ -55,19 +62,27 @@
             except TruncatedError as error:
                 self._position = error.first
             except PlatformError as error:
-                log.write("election_read_failed", reason=str(error))
+                self._mark_reachable(False, str(error))
                 await asyncio.sleep(RETRY_S)
 
+    def _mark_reachable(self, is_reachable: bool, reason: str = "") -> None:
+        if is_reachable != self._is_reachable:
+            kind = "dependency_regained" if is_reachable else "dependency_lost"
+            log.write(kind, dependency="store", topic=topics.ELECTION, reason=reason)
+        self._is_reachable = is_reachable
+
     async def _step(self) -> None:
         read = await self._store.read(
             topics.ELECTION, self._position, READ_WAIT_S if self._position else 0.0
         )
+        self._mark_reachable(True)
         rows = [
             (read.first + number, decode(data))
             for number, data in enumerate(read.records)
         ]
         self._position = max(read.next, self._position)
-        self._election.on_read(rows, read.next, time.monotonic())
+        wall_ms = int(time.time() * 1000)
+        self._election.on_read(rows, read.next, time.monotonic(), wall_ms)
         self._tell()
         if self.may_stand and self._election.may_claim(time.monotonic()):
             await self._claim()
@@ -85,16 +100,32 @@
         self._tell()
 
     async def renew(self) -> None:
-        """Renew this member's claim for as long as it is the newest."""
+        """Renew this member's claim for as long as it is the newest.
+
+        Once renewals fail for a while, others are told that they may claim.
+        """
+        renewed_at = time.monotonic()
+        failures = 0
         while self._election.is_planner:
             sent_at = time.monotonic()
             try:
                 offset = await self._append(Act.RENEW)
-                self._election.on_renewed(offset, sent_at)
-                await asyncio.sleep(RENEW_S)
             except PlatformError as error:
-                log.write("renewal_failed", reason=str(error))
+                failures += 1
+                if failures == 1:
+                    log.write("renewal_failed", reason=str(error))
+                if failures > 1 and time.monotonic() - renewed_at > ABDICATE_AFTER_S:
+                    renewed_at = time.monotonic()
+                    self._election.abdicate()
+                    self._on_abdicated()
                 await asyncio.sleep(RETRY_S)
+                continue
+            if failures:
+                log.write("renewal_recovered", failures=failures)
+            failures = 0
+            renewed_at = sent_at
+            self._election.on_renewed(offset, sent_at)
+            await asyncio.sleep(RENEW_S)
 
     async def release(self) -> None:
         """Give the claim up, so that another member need not wait."""
@@ -108,7 +139,8 @@
 
     async def _append(self, act: Act) -> int:
         election = self._election
-        record = encode(ElectionRecord(act, election.member, election.address))
+        wall_ms = int(time.time() * 1000)
+        record = encode(ElectionRecord(act, election.member, election.address, wall_ms))
         return await self._store.append(topics.ELECTION, [record], at=election.end)
 
     def _tell(self) -> None:
@@ -124,14 +156,15 @@
 
 def encode(record: ElectionRecord) -> bytes:
     """Return a record as it stands in the log."""
-    return bytes(msgpack.packb([record.act.value, record.member, record.address]))
+    plain = [record.act.value, record.member, record.address, record.wall_ms]
+    return bytes(msgpack.packb(plain))
 
 
 def decode(data: bytes) -> ElectionRecord | None:
     """Return a record of the log, or None if it can't be read."""
     try:
-        act, member, address = msgpack.unpackb(data)
-        return ElectionRecord(Act(act), str(member), str(address))
+        act, member, address, wall_ms = msgpack.unpackb(data)
+        return ElectionRecord(Act(act), str(member), str(address), int(wall_ms))
     except (ValueError, TypeError) as error:
         log.write("election_record_ignored", reason=str(error))
         return None
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/front.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/front.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from jacinthloom_core.planner.retry_after import compute_retry_after_s
 from jacinthloom_core.planner.specs import JobSpecError, check_job
 
 from ..metrics import Latency
@@ -30,14 +31,14 @@
     from .feeds import OperatorFeed
     from .planner_link import PlannerLink
 
-PLANNER_WAIT_S = 0.7
-"""Seconds that a call waits for a planner: a third of an election."""
+PLANNER_WAIT_S = 1.5
+"""Seconds that a call waits for a planner: an election and the load of its records."""
 
 ANSWER_MARGIN_S = 0.25
 """Seconds of a caller's budget that are left for the answer to travel."""
 
 RETRY_AFTER_S = 1
-"""Seconds to come back after when there is no planner: an election takes two."""
+"""Seconds to come back after when a process has just started."""
 
 
 class Front:
@@ -119,7 +120,8 @@
                 was_sent = True
         if was_sent:
             return messages.Answer(0, 504, "the outcome is not known")
-        return messages.Answer(0, 503, "there is no planner now", RETRY_AFTER_S)
+        retry_s = compute_retry_after_s(self._link.count_outage_s())
+        return messages.Answer(0, 503, "there is no planner now", retry_s)
 
     def _log_refusal(
         self, request: Request, status: int, reason: str, rules: Rules
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/messages.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/messages.py
@@ -92,14 +92,18 @@
     good: tuple[tuple[str, str], ...] | None
 
 
+class Abdicated(Message, frozen=True):
+    """The planner of a term can't write to the store; others may claim."""
+
+    term: int
+
+
 class Ping(Message, frozen=True):
     """Shows that the stream is alive."""
 
 
 PlannerCall = Submit | Cancel | Show | Count
-AnyMessage = (
-    Hello | Submit | Cancel | Show | Count | Answer | AdviceOrder | Advised | Ping
-)
+AnyMessage = PlannerCall | Hello | Answer | AdviceOrder | Advised | Abdicated | Ping
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(AnyMessage)
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_link.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_link.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from jacinthloom_core.planner.election import Term
+    from jacinthloom_core.planner.election import Election, Term
 
     from .planner_host import PlannerHost
 
@@ -47,8 +47,10 @@
         self,
         member: str,
         on_advice_order: Callable[[messages.AdviceOrder], Awaitable[messages.Advised]],
+        election: Election,
     ) -> None:
         self._member = member
+        self._election = election
         self._on_advice_order = on_advice_order
         self._numbers = itertools.count(1)
         self._future_by_call: dict[int, asyncio.Future[messages.Answer]] = {}
@@ -56,6 +58,7 @@
         self._local: PlannerHost | None = None
         self._dialler: asyncio.Task[None] | None = None
         self._connected = asyncio.Event()
+        self._disconnected_at = time.monotonic()
         self._jobs: set[asyncio.Task[None]] = set()
 
     def set_term(self, term: Term | None) -> None:
@@ -73,7 +76,13 @@
         if host is not None:
             self._connected.set()
         elif self._writer is None:
-            self._connected.clear()
+            self._mark_disconnected()
+
+    def count_outage_s(self) -> float:
+        """Return for how many seconds there has been no planner."""
+        if self._connected.is_set():
+            return 0.0
+        return time.monotonic() - self._disconnected_at
 
     async def call(
         self, call: messages.PlannerCall, wait_s: float, timeout_s: float
@@ -126,6 +135,11 @@
         finally:
             self._future_by_call.pop(number, None)
 
+    def _mark_disconnected(self) -> None:
+        if self._connected.is_set():
+            self._disconnected_at = time.monotonic()
+        self._connected.clear()
+
     def _send(self, message: messages.AnyMessage) -> None:
         if self._writer is not None:
             self._writer.write(messages.encode(message))
@@ -136,7 +150,9 @@
             try:
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
                     reader, writer = await asyncio.open_connection(host, int(port))
-            except (OSError, TimeoutError):
+            except (OSError, TimeoutError) as error:
+                if isinstance(error, ConnectionRefusedError):
+                    self._election.on_refused(term.number)
                 await asyncio.sleep(REDIAL_S)
                 continue
             log.write("planner_connected", term=term.number, member=term.member)
@@ -167,6 +183,9 @@
                     self._on_answer(message)
                 elif isinstance(message, messages.AdviceOrder):
                     self._spawn_advice(message)
+                elif isinstance(message, messages.Abdicated):
+                    log.write("planner_abdicated", term=message.term)
+                    self._election.on_abdicated(message.term, time.monotonic())
         finally:
             pings.cancel()
 
@@ -191,7 +210,7 @@
     def _disconnect(self) -> None:
         self._writer = None
         if self._local is None:
-            self._connected.clear()
+            self._mark_disconnected()
         for future in self._future_by_call.values():
             if not future.done():
                 future.set_exception(UnansweredError())
@@ -226,6 +245,11 @@
         session.send(order)
         return True
 
+    def broadcast(self, message: messages.AnyMessage) -> None:
+        """Send a message to every member that is connected."""
+        for session in list(self._sessions):
+            session.send(message)
+
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -247,9 +271,7 @@
                     host.on_member(message.member, True)
                 elif isinstance(message, messages.Advised):
                     host.on_advised(session.member, message)
-                elif not isinstance(
-                    message, messages.Ping | messages.Answer | messages.AdviceOrder
-                ):
+                elif isinstance(message, messages.PlannerCall):
                     session.spawn(message)
         except (OSError, EOFError, TimeoutError, messages.FrameError) as error:
             log.write(
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
@@ -46,8 +46,12 @@
         self._store = LogStore(settings.store_address)
         self._advice = AdviceClient(settings.advice_address or "127.0.0.1:9")
         self._election = Election(self._member, settings.peer_address)
-        self._elections = ElectionFollower(self._store, self._election, self._on_term)
-        self._link = PlannerLink(self._member, self._answer_advice_order)
+        self._elections = ElectionFollower(
+            self._store, self._election, self._on_term, self._on_abdicated
+        )
+        self._link = PlannerLink(
+            self._member, self._answer_advice_order, self._election
+        )
         self._peers = PlannerServer()
         self._feed = OperatorFeed(self._store, self._on_rules, self._on_zones)
         self._front = Front(self._feed, self._link)
@@ -125,11 +129,18 @@
             self._spawn(self._elections.renew())
             self._spawn(self._plan(term))
 
+    def _on_abdicated(self) -> None:
+        term = self._election.term
+        if term is not None:
+            log.write("abdicated", term=term.number)
+            self._peers.broadcast(messages.Abdicated(term.number))
+
     async def _plan(self, term: Term) -> None:
         settings = PlannerSettings(
             term.number,
             min(LEASE_S, self._settings.longest_lease_s),
             self._settings.status_s,
+            self._settings.longest_lease_s,
         )
         host = PlannerHost(self._store, settings, self._ask_advice, self._has_authority)
         self._host = host
