Let members say through the log that they can't reach the planner

On a planned stop a renewal in flight made the release fail, and the planner went on renewing until it was killed; in a rolling restart the next to be stopped was elected each time.

Change: a member that hears the planner in the log and can't reach it complains there, is not ready, and asks its clients to leave; a planner with more complaints than members stands down. Renewals end before the release, which needs no condition. Members that started after the planner claim first. A draining process closes idle connections, so it is back sooner.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
@@ -26,6 +26,19 @@
 """Seconds after a renewal was sent for which the planner counts on it: less than
 ``CLAIM_AFTER_S`` by more than clocks differ and timers are late."""
 
+YOUNGER_FIRST_S = 0.35
+"""Seconds for which members that started before the planner that released leave the
+claim to younger ones: in a rolling restart the older ones go next."""
+
+COMPLAINT_S = 2.0
+"""Seconds for which a complaint counts."""
+
+COMPLAIN_AFTER_S = 0.8
+"""Seconds without a stream to the planner after which a member complains."""
+
+STAND_DOWN_S = 4.0
+"""Seconds for which a planner that most members can't reach does not claim again."""
+
 RENEW_S = 0.4
 """Seconds between two renewals."""
 
@@ -42,6 +55,8 @@
     CLAIM = "claim"
     RENEW = "renew"
     RELEASE = "release"
+    COMPLAIN = "complain"
+    """Its member hears the planner in the log and can't reach it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +100,11 @@
         self._renewed_at = float("-inf")
         self._suspect_term = 0
         self._abdicated_at = float("-inf")
+        self._released_at = float("-inf")
+        self._stands_down_until = float("-inf")
+        self._is_young = True
+        """Whether it began to read after the newest claim was written."""
+        self._complained_at: dict[str, float] = {}
 
     @property
     def is_planner(self) -> bool:
@@ -110,28 +130,39 @@
         self._answered_at = now
         for offset, record in records:
             if offset >= self.end and record is not None:
-                self._reduce(offset, record)
-        if records:
-            self._quiet_since = now
+                self._reduce(offset, record, now)
+                if self.term is not None and record.member == self.term.member:
+                    self._quiet_since = now
+                if record.act is Act.CLAIM:
+                    self._is_young = is_first
         if is_first and records and records[-1][1] is not None and wall_ms:
             age_s = (wall_ms - records[-1][1].wall_ms) / 1000
-            self._quiet_since = now - max(0.0, min(age_s, CLAIM_AFTER_S))
+            self._quiet_since = now - max(0.0, age_s)
         self.end = max(self.end, end)
 
-    def _reduce(self, offset: int, record: ElectionRecord) -> None:
+    def _reduce(self, offset: int, record: ElectionRecord, now: float) -> None:
+        if record.act is Act.COMPLAIN:
+            self._complained_at[record.member] = now
+            return
         if record.act is Act.CLAIM:
+            self._complained_at.clear()
             self.term = Term(offset + 1, record.member, record.address)
             self._abdicated_at = float("-inf")
             return
         is_holder = self.term is not None and record.member == self.term.member
         if is_holder and record.act is Act.RELEASE:
             self.term = None
+            self._released_at = now
 
     def may_claim(self, now: float) -> bool:
         """Whether no planner has been heard of for long enough."""
         if self.is_planner or now - self._answered_at > READ_GAP_S:
             return False
-        if self.term is None or now - self._abdicated_at < ABDICATION_S:
+        if now < self._stands_down_until:
+            return False
+        if self.term is None:
+            return self._is_young or now - self._released_at >= YOUNGER_FIRST_S
+        if now - self._abdicated_at < ABDICATION_S:
             return True
         is_suspect = self.term.number == self._suspect_term
         patience_s = SUSPECT_CLAIM_AFTER_S if is_suspect else CLAIM_AFTER_S
@@ -152,7 +183,8 @@
 
     def on_claimed(self, offset: int, sent_at: float) -> None:
         """Note that this member's claim was appended."""
-        self._reduce(offset, ElectionRecord(Act.CLAIM, self.member, self.address))
+        claim = ElectionRecord(Act.CLAIM, self.member, self.address)
+        self._reduce(offset, claim, sent_at)
         self.end = max(self.end, offset + 1)
         self._renewed_at = sent_at
 
@@ -161,6 +193,21 @@
         self.end = max(self.end, offset + 1)
         self._renewed_at = max(self._renewed_at, sent_at)
 
+    def is_unreachable(self, connected: int, now: float) -> bool:
+        """Whether more members complain of this planner than are connected to it."""
+        complaints = [
+            at for at in self._complained_at.values() if now - at < COMPLAINT_S
+        ]
+        return self.is_planner and len(complaints) > connected
+
+    def stand_down(self, now: float) -> None:
+        """Leave the next claims to members that others reach."""
+        self._stands_down_until = now + STAND_DOWN_S
+
+    def hears_planner(self, now: float) -> bool:
+        """Whether the planner of the newest term has been heard of lately."""
+        return self.term is not None and now - self._quiet_since < CLAIM_AFTER_S
+
     def has_authority(self, now: float) -> bool:
         """Whether no other member can have claimed yet."""
         return self.is_planner and now - self._renewed_at < AUTHORITY_S
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/elections.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/elections.py
@@ -50,6 +50,7 @@
         self._on_term = on_term
         self._told: Term | None = None
         self._position = 0
+        self._renews = False
         self._is_reachable = True
         self.may_stand = True
         """Whether this member may claim."""
@@ -106,7 +107,8 @@
         """
         renewed_at = time.monotonic()
         failures = 0
-        while self._election.is_planner:
+        self._renews = True
+        while self._election.is_planner and self._renews:
             sent_at = time.monotonic()
             try:
                 offset = await self._append(Act.RENEW)
@@ -129,19 +131,28 @@
 
     async def release(self) -> None:
         """Give the claim up, so that another member need not wait."""
-        self.may_stand = False
         if not self._election.is_planner:
             return
+        self._renews = False
         try:
-            await self._append(Act.RELEASE)
+            await self._append(Act.RELEASE, is_conditional=False)
         except PlatformError as error:
             log.write("release_failed", reason=str(error))
 
-    async def _append(self, act: Act) -> int:
+    async def complain(self) -> None:
+        """Tell the planner through the log that this member can't reach it."""
+        try:
+            await self._append(Act.COMPLAIN, is_conditional=False)
+            log.write("complained", term=self._election.term)
+        except PlatformError as error:
+            log.write("complaint_failed", reason=str(error))
+
+    async def _append(self, act: Act, is_conditional: bool = True) -> int:
         election = self._election
         wall_ms = int(time.time() * 1000)
         record = encode(ElectionRecord(act, election.member, election.address, wall_ms))
-        return await self._store.append(topics.ELECTION, [record], at=election.end)
+        at = election.end if is_conditional else None
+        return await self._store.append(topics.ELECTION, [record], at=at)
 
     def _tell(self) -> None:
         term = self._election.term
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/front.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/front.py
@@ -4,6 +4,7 @@
 
 import time
 from collections import Counter
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from jacinthloom_core.planner.retry_after import compute_retry_after_s
@@ -87,7 +88,8 @@
             return respond_state(answer.state)
         if call.action is Action.COUNT and answer.status == 200:
             return respond_waiting(answer.waiting)
-        return respond(answer.status, answer.reason, answer.retry_after_s)
+        response = respond(answer.status, answer.reason, answer.retry_after_s)
+        return replace(response, is_last=self._link.is_isolated)
 
     def _read_job(self, call: Call, request: Request) -> messages.Submit:
         now_ms = int(time.time() * 1000)
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_link.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_link.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+from jacinthloom_core.planner.election import COMPLAIN_AFTER_S
 
 from . import log, messages
 
@@ -28,7 +29,7 @@
 SILENCE_S = 1.6
 """Seconds without a sign of life after which a stream is replaced: three pings."""
 
-REDIAL_S = 0.1
+REDIAL_S = 0.15
 """Seconds between two attempts to dial."""
 
 
@@ -84,6 +85,16 @@
             return 0.0
         return time.monotonic() - self._disconnected_at
 
+    @property
+    def is_isolated(self) -> bool:
+        """Whether the planner is alive by the log, and can't be reached from here."""
+        now = time.monotonic()
+        return (
+            self.count_outage_s() > COMPLAIN_AFTER_S
+            and not self._election.is_planner
+            and self._election.hears_planner(now)
+        )
+
     async def call(
         self, call: messages.PlannerCall, wait_s: float, timeout_s: float
     ) -> messages.Answer:
@@ -245,6 +256,10 @@
         session.send(order)
         return True
 
+    def count_members(self) -> int:
+        """Return how many members are connected."""
+        return len(self._session_by_member)
+
     def broadcast(self, message: messages.AnyMessage) -> None:
         """Send a message to every member that is connected."""
         for session in list(self._sessions):
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
@@ -33,6 +33,16 @@
 STOP_MARGIN_S = 0.8
 """Seconds before the kill at which the process is gone."""
 
+DRAIN_S = 2.2
+"""Seconds from SIGTERM for which connections are kept: readiness is asked each second,
+and two misses take a host out of the rotation."""
+
+IDLE_S = 1.0
+"""Seconds without a call after which a draining process closes a connection."""
+
+REACH_INTERVAL_S = 0.5
+"""Seconds between two looks at whether members reach the planner."""
+
 MAX_CONNECTIONS = 2_000
 """Client connections: half of the descriptors of the smallest hosts."""
 
@@ -75,14 +85,18 @@
         await readiness.start(settings.ready_address)
         await self._peers.start(settings.peer_address)
         self._spawn(self._feed.follow())
+        self._spawn(self._watch_reach())
         election = self._spawn(self._elections.follow())
         await clients.start(settings.front_address)
         await self._stopping.wait()
         stop_at = time.monotonic() + settings.grace_s - STOP_MARGIN_S
         log.write("stopping", node=settings.name)
+        self._elections.may_stand = False
         clients.drain()
         await self._hand_over()
+        await asyncio.sleep(DRAIN_S)
         while clients.connections and time.monotonic() < stop_at:
+            clients.close_idle(IDLE_S)
             await asyncio.sleep(0.05)
         election.cancel()
         await clients.close(max(0.1, stop_at - time.monotonic()))
@@ -107,7 +121,11 @@
         await self._elections.release()
 
     async def _answer_readiness(self, request: Request) -> ServerResponse:
-        is_ready = self._feed.has_rules.is_set() and not self._stopping.is_set()
+        is_ready = (
+            self._feed.has_rules.is_set()
+            and not self._stopping.is_set()
+            and not self._link.is_isolated
+        )
         return ServerResponse.from_json(200 if is_ready else 503, {})
 
     def _on_rules(self, rules: Rules) -> None:
@@ -119,6 +137,23 @@
         if self._host is not None and self._host.is_ready.is_set():
             self._host.on_zones(zones)
 
+    async def _watch_reach(self) -> None:
+        """Complain of a planner that can't be reached; step down if others do."""
+        while True:
+            await asyncio.sleep(REACH_INTERVAL_S)
+            if self._link.is_isolated:
+                await self._elections.complain()
+                await asyncio.sleep(REACH_INTERVAL_S)
+                continue
+            now = time.monotonic()
+            connected = self._peers.count_members()
+            if self._host is None or not self._host.is_ready.is_set():
+                continue
+            if self._election.is_unreachable(connected, now):
+                log.write("unreachable", connected=connected)
+                self._election.stand_down(now)
+                await self._hand_over()
+
     # Terms
 
     def _on_term(self, term: Term | None) -> None:
--- a/packages/jacinthloom-wire/src/jacinthloom_wire/http_server.py
+++ b/packages/jacinthloom-wire/src/jacinthloom_wire/http_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import time
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qs, urlsplit
@@ -50,12 +51,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerResponse:
-    """An answer to be sent."""
+    """An answer to be sent.
+
+    :param is_last: whether the client is asked to leave this host
+    """
 
     status: int
     body: bytes
     content_type: str = "application/json"
     headers: tuple[tuple[str, str], ...] = field(default=())
+    is_last: bool = False
 
     @classmethod
     def from_json(cls, status: int, value: object) -> ServerResponse:
@@ -87,7 +92,7 @@
         self._limits = limits or ServerLimits()
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
-        self._idle_writers: set[asyncio.StreamWriter] = set()
+        self._idle_since_by_writer: dict[asyncio.StreamWriter, float] = {}
         self._closing = False
         self._draining = False
         self.connections = 0
@@ -104,13 +109,19 @@
         """Go on serving, but ask clients to leave with each answer."""
         self._draining = True
 
+    def close_idle(self, idle_s: float) -> None:
+        """Close the connections on which nothing has come for some seconds."""
+        now = time.monotonic()
+        for writer, since in list(self._idle_since_by_writer.items()):
+            if now - since >= idle_s:
+                writer.close()
+
     async def close(self, grace_s: float = 5.0) -> None:
         """Stop accepting, let requests in flight end, then drop connections."""
         self._closing = True
         if self._server is not None:
             self._server.close()
-        for writer in self._idle_writers:
-            writer.close()
+        self.close_idle(0.0)
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=grace_s)
         for task in self._tasks:
@@ -161,7 +172,7 @@
             if request is None:
                 return
             response = await self._handle(request)
-            is_last = self._closing or self._draining
+            is_last = self._closing or self._draining or response.is_last
             await _send(state, writer, response, is_last)
             if state.our_state is not h11.DONE:
                 return
@@ -175,13 +186,13 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> Request | None:
-        self._idle_writers.add(writer)
+        self._idle_since_by_writer[writer] = time.monotonic()
         try:
             async with asyncio.timeout(self._limits.idle_timeout_s):
                 if not await _fill(state, reader):
                     return None
         finally:
-            self._idle_writers.discard(writer)
+            self._idle_since_by_writer.pop(writer, None)
         try:
             async with asyncio.timeout(self._limits.header_timeout_s):
                 head = await _next_event(state, reader)
