Learn of a new term from other members when the store is out of reach

Cause: hosts that the store turns away can't read who plans.

Change: the planner tells members each other's addresses; one without a planner for 0.4 s asks them for the newest term. A host without a planner for 1.5 s is not ready. A host that can't serve sends callers back after 1 s: another one can.

Ruled out: a slow election (1.7 s, as meant); clients not sent elsewhere (less than half of a zone's hosts in rotation makes the platform use them all).

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
@@ -168,6 +168,16 @@
         patience_s = SUSPECT_CLAIM_AFTER_S if is_suspect else CLAIM_AFTER_S
         return now - self._quiet_since >= patience_s
 
+    def on_told(self, term: Term) -> bool:
+        """Take over a newer term that another member has read; return whether it is.
+
+        A member that can't read the log itself learns so whom to call.
+        """
+        if self.term is not None and term.number <= self.term.number:
+            return False
+        self.term = term
+        return True
+
     def on_refused(self, term: int) -> None:
         """Note that the host of a term's planner refuses connections."""
         self._suspect_term = term
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/front.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/front.py
@@ -7,7 +7,6 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from jacinthloom_core.planner.retry_after import compute_retry_after_s
 from jacinthloom_core.planner.specs import JobSpecError, check_job
 
 from ..metrics import Latency
@@ -39,7 +38,7 @@
 """Seconds of a caller's budget that are left for the answer to travel."""
 
 RETRY_AFTER_S = 1
-"""Seconds to come back after when a process has just started."""
+"""Seconds to come back after when this host can't serve: another one likely can."""
 
 
 class Front:
@@ -89,7 +88,7 @@
         if call.action is Action.COUNT and answer.status == 200:
             return respond_waiting(answer.waiting)
         response = respond(answer.status, answer.reason, answer.retry_after_s)
-        return replace(response, is_last=self._link.is_isolated)
+        return replace(response, is_last=self._link.is_useless)
 
     def _read_job(self, call: Call, request: Request) -> messages.Submit:
         now_ms = int(time.time() * 1000)
@@ -122,8 +121,7 @@
                 was_sent = True
         if was_sent:
             return messages.Answer(0, 504, "the outcome is not known")
-        retry_s = compute_retry_after_s(self._link.count_outage_s())
-        return messages.Answer(0, 503, "there is no planner now", retry_s)
+        return messages.Answer(0, 503, "there is no planner now", RETRY_AFTER_S)
 
     def _log_refusal(
         self, request: Request, status: int, reason: str, rules: Rules
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/messages.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/messages.py
@@ -27,9 +27,28 @@
 
 
 class Hello(Message, frozen=True):
-    """The member on the other end."""
+    """The member on the other end, and where it takes streams."""
 
     member: str
+    address: str
+
+
+class Members(Message, frozen=True):
+    """Where the members that the planner knows take streams."""
+
+    addresses: tuple[str, ...]
+
+
+class AskTerm(Message, frozen=True):
+    """Tell the newest term that you know."""
+
+
+class TermTold(Message, frozen=True):
+    """The newest term that a member knows; number 0 for none."""
+
+    number: int
+    member: str
+    address: str
 
 
 class Submit(Message, frozen=True):
@@ -103,7 +122,18 @@
 
 
 PlannerCall = Submit | Cancel | Show | Count
-AnyMessage = PlannerCall | Hello | Answer | AdviceOrder | Advised | Abdicated | Ping
+AnyMessage = (
+    PlannerCall
+    | Hello
+    | Members
+    | AskTerm
+    | TermTold
+    | Answer
+    | AdviceOrder
+    | Advised
+    | Abdicated
+    | Ping
+)
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(AnyMessage)
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_link.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_link.py
@@ -9,14 +9,14 @@
 from typing import TYPE_CHECKING
 
 import msgspec
-from jacinthloom_core.planner.election import COMPLAIN_AFTER_S
+from jacinthloom_core.planner.election import COMPLAIN_AFTER_S, Term
 
 from . import log, messages
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from jacinthloom_core.planner.election import Election, Term
+    from jacinthloom_core.planner.election import Election
 
     from .planner_host import PlannerHost
 
@@ -29,10 +29,17 @@
 SILENCE_S = 1.6
 """Seconds without a sign of life after which a stream is replaced: three pings."""
 
+ASK_PEERS_S = 0.4
+"""Seconds without a planner after which other members are asked, and between asks."""
+
 REDIAL_S = 0.15
 """Seconds between two attempts to dial."""
 
 
+USELESS_AFTER_S = 1.5
+"""Seconds without a planner after which a host is not ready: an election and more."""
+
+
 class NoPlannerError(Exception):
     """No planner took the call; nothing of it was sent."""
 
@@ -49,8 +56,14 @@
         member: str,
         on_advice_order: Callable[[messages.AdviceOrder], Awaitable[messages.Advised]],
         election: Election,
+        address: str,
+        on_told: Callable[[Term], None],
     ) -> None:
         self._member = member
+        self._address = address
+        self._on_told = on_told
+        self._peers: tuple[str, ...] = ()
+        self._term: Term | None = None
         self._election = election
         self._on_advice_order = on_advice_order
         self._numbers = itertools.count(1)
@@ -64,6 +77,9 @@
 
     def set_term(self, term: Term | None) -> None:
         """Connect to the planner of a term; None or its own drops the stream."""
+        if term is not None and term == self._term:
+            return
+        self._term = term
         if self._dialler is not None:
             self._dialler.cancel()
             self._dialler = None
@@ -85,6 +101,11 @@
             return 0.0
         return time.monotonic() - self._disconnected_at
 
+    @property
+    def is_useless(self) -> bool:
+        """Whether calls are better sent to another host."""
+        return self.count_outage_s() > USELESS_AFTER_S
+
     @property
     def is_isolated(self) -> bool:
         """Whether the planner is alive by the log, and can't be reached from here."""
@@ -182,7 +203,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._writer = writer
-        self._send(messages.Hello(self._member))
+        self._send(messages.Hello(self._member, self._address))
         pings = asyncio.create_task(self._ping())
         try:
             while True:
@@ -192,6 +213,8 @@
                     self._connected.set()
                 elif isinstance(message, messages.Answer):
                     self._on_answer(message)
+                elif isinstance(message, messages.Members):
+                    self._peers = message.addresses
                 elif isinstance(message, messages.AdviceOrder):
                     self._spawn_advice(message)
                 elif isinstance(message, messages.Abdicated):
@@ -205,6 +228,34 @@
             await asyncio.sleep(PING_S)
             self._send(messages.Ping())
 
+    async def ask_peers(self) -> None:
+        """Learn of a newer term from other members, while there is no planner.
+
+        The store may be out of reach for this host alone.
+        """
+        while True:
+            await asyncio.sleep(ASK_PEERS_S)
+            if self.count_outage_s() < ASK_PEERS_S:
+                continue
+            for address in self._peers:
+                if address != self._address and await self._ask_peer(address):
+                    break
+
+    async def _ask_peer(self, address: str) -> bool:
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                told = await ask_term(address)
+        except (OSError, EOFError, TimeoutError, messages.FrameError):
+            return False
+        if not told.number:
+            return False
+        term = Term(told.number, told.member, told.address)
+        if not self._election.on_told(term):
+            return False
+        log.write("term_told", number=term.number, member=term.member, by=address)
+        self._on_told(term)
+        return True
+
     def _on_answer(self, answer: messages.Answer) -> None:
         future = self._future_by_call.get(answer.call)
         if future is not None and not future.done():
@@ -227,10 +278,25 @@
                 future.set_exception(UnansweredError())
 
 
+async def ask_term(address: str) -> messages.TermTold:
+    """Ask a member for the newest term that it knows."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        writer.write(messages.encode(messages.AskTerm()))
+        message = await messages.read_message(reader)
+    finally:
+        writer.close()
+    if not isinstance(message, messages.TermTold):
+        raise messages.FrameError(f"an unexpected {type(message).__name__}")
+    return message
+
+
 class PlannerServer:
     """Take streams from members for the planner of this process."""
 
-    def __init__(self) -> None:
+    def __init__(self, election: Election) -> None:
+        self._election = election
         self._host: PlannerHost | None = None
         self._session_by_member: dict[str, _Session] = {}
         self._server: asyncio.Server | None = None
@@ -265,12 +331,36 @@
         for session in list(self._sessions):
             session.send(message)
 
+    def _tell_members(self) -> None:
+        addresses = sorted(s.address for s in self._session_by_member.values())
+        own = self._election.address
+        self.broadcast(messages.Members((own, *addresses)))
+
+    def _make_term_told(self) -> messages.TermTold:
+        term = self._election.term
+        if term is None:
+            return messages.TermTold(0, "", "")
+        return messages.TermTold(term.number, term.member, term.address)
+
+    async def _tell_term(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                if isinstance(await messages.read_message(reader), messages.AskTerm):
+                    writer.write(messages.encode(self._make_term_told()))
+                    await writer.drain()
+        except (OSError, EOFError, TimeoutError, messages.FrameError) as error:
+            log.write("peer_dropped", reason=type(error).__name__)
+        finally:
+            writer.close()
+
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         host = self._host
         if host is None:
-            writer.close()
+            await self._tell_term(reader, writer)
             return
         session = _Session(writer, host)
         self._sessions.add(session)
@@ -282,8 +372,12 @@
                 if isinstance(message, messages.Hello):
                     self._session_by_member[message.member] = session
                     session.member = message.member
-                    session.send(messages.Hello(""))
+                    session.address = message.address
+                    session.send(messages.Hello("", ""))
                     host.on_member(message.member, True)
+                    self._tell_members()
+                elif isinstance(message, messages.AskTerm):
+                    session.send(self._make_term_told())
                 elif isinstance(message, messages.Advised):
                     host.on_advised(session.member, message)
                 elif isinstance(message, messages.PlannerCall):
@@ -311,7 +405,7 @@
         self._host = host
         self._calls: set[asyncio.Task[None]] = set()
         self.member = ""
-        self.since = time.monotonic()
+        self.address = ""
 
     def send(self, message: messages.AnyMessage) -> None:
         self._writer.write(messages.encode(message))
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
@@ -60,9 +60,13 @@
             self._store, self._election, self._on_term, self._on_abdicated
         )
         self._link = PlannerLink(
-            self._member, self._answer_advice_order, self._election
+            self._member,
+            self._answer_advice_order,
+            self._election,
+            settings.peer_address,
+            self._on_term,
         )
-        self._peers = PlannerServer()
+        self._peers = PlannerServer(self._election)
         self._feed = OperatorFeed(self._store, self._on_rules, self._on_zones)
         self._front = Front(self._feed, self._link)
         self._host: PlannerHost | None = None
@@ -86,6 +90,7 @@
         await self._peers.start(settings.peer_address)
         self._spawn(self._feed.follow())
         self._spawn(self._watch_reach())
+        self._spawn(self._link.ask_peers())
         election = self._spawn(self._elections.follow())
         await clients.start(settings.front_address)
         await self._stopping.wait()
@@ -124,7 +129,7 @@
         is_ready = (
             self._feed.has_rules.is_set()
             and not self._stopping.is_set()
-            and not self._link.is_isolated
+            and not self._link.is_useless
         )
         return ServerResponse.from_json(200 if is_ready else 503, {})
 
