Learn how fast workers are, stop runs that stand still, serve metrics

Runs that stand still held their jobs until their worker recovered. Tasks that fill could be placed beside tasks that serve. A worker's starts opened new connections.

A run without progress for 2 s is stopped and its worker left alone for 4 s. planner/sharing.py keeps fillers and servers apart. 16 connections are kept a worker.

Ruled out: declared run times as a measure of a worker (off by up to ten times).

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/books.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/books.py
@@ -12,6 +12,7 @@
 from .jobs import FINAL_STATES, JobState, TaskState, find_ready_steps
 from .ledger import Ledger
 from .rules import Rules
+from .speed import SpeedBook
 
 if TYPE_CHECKING:
     from ..resources import Resources
@@ -56,6 +57,7 @@
         self.usage_by_tenant: dict[str, list[int]] = {}
         self.unsure: dict[tuple[str, int, int, int], Task] = {}
         self.desk = AdviceDesk()
+        self.speeds = SpeedBook()
         self.ledger = Ledger()
         self.effects: list[Effect] = []
         self.counters: Counter[str] = Counter()
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/fleet.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/fleet.py
@@ -81,6 +81,7 @@
     free_memory: int = 0
     free_accelerators: int = 0
     fail_streak: int = 0
+    slowness: float = 1.0
     quarantined_until: float = 0.0
 
     def accept(self, entry: WorkerEntry) -> None:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/placement.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/placement.py
@@ -5,6 +5,8 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from .speed import SLOW
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -12,6 +14,11 @@
     from .jobs import StepRun, Task
 
 
+SHORT_S = 2.0
+"""Estimate below which a task goes to the fastest worker rather than the fullest: a
+tenth of its run time is much of what its caller allows for waiting."""
+
+
 def place_tasks(
     step: StepRun, tasks: list[Task], workers: list[Worker]
 ) -> list[tuple[Task, Worker]]:
@@ -66,7 +73,7 @@
 
     def take(self, task: Task) -> Worker | None:
         best: Worker | None = None
-        best_key: tuple[int, int, int, int] | None = None
+        best_key: tuple[float, ...] | None = None
         for worker in self._workers:
             if self._room_by_worker[worker.id] < 1:
                 continue
@@ -77,10 +84,12 @@
             self._room_by_worker[best.id] -= 1
         return best
 
-    def _score(self, task: Task, worker: Worker) -> tuple[int, int, int, int]:
+    def _score(self, task: Task, worker: Worker) -> tuple[float, ...]:
         spec = self._step.spec
         has_failed = int(worker.id in task.failed_on)
         is_far = int(bool(spec.data_rack) and _rack(worker) != spec.data_rack)
         room = self._room_by_worker[worker.id]
         spread = -room if spec.lasting else room
-        return (has_failed, is_far, worker.fail_streak, spread)
+        is_slow = worker.slowness >= SLOW
+        pace = round(worker.slowness, 1) if spec.estimate_s < SHORT_S else 0.0
+        return (has_failed, is_slow, is_far, worker.fail_streak, pace, spread)
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/placing.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/placing.py
@@ -8,6 +8,7 @@
 from .jobs import TaskState
 from .order import LatestStartOrder
 from .placement import place_gang, place_tasks
+from .sharing import may_share
 
 if TYPE_CHECKING:
     from .advice import StepAdvice
@@ -38,6 +39,8 @@
         self._kept = set()
         self.reason_by_step = {}
         usable = [w for w in books.worker_by_id.values() if self._is_usable(w, now)]
+        for worker in usable:
+            worker.slowness = books.speeds.find_slowness(worker.id, now)
         for rank, step, queue in self._sort_ready():
             waiting = step.waiting()
             if waiting:
@@ -75,6 +78,7 @@
             if worker.entry is not None
             and worker.entry.service == queue.service
             and (not spec.label or spec.label in worker.entry.labels)
+            and may_share(step, worker)
         ]
         advice = self._books.desk.find(step.id) if queue.advice else None
         if advice is not None and not advice.is_good_by_worker:
@@ -247,6 +251,8 @@
         task.state = TaskState.STARTING
         task.placed_at = now
         task.percent = 0
+        task.progress_at = 0.0
+        task.confirmed_at = 0.0
         self.order_start(task, now)
 
     def order_start(self, task: Task, now: float) -> None:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/runs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/runs.py
@@ -39,6 +39,13 @@
 STREAK_LIMIT = 2
 """Failed runs in a row, of different jobs, after which a worker is in quarantine."""
 
+STILL_S = 2.0
+"""Seconds without progress after which a run stands still: twice the longest time
+between two lists."""
+
+STILL_SHARE = 0.5
+"""The same as a share of the estimate, for long tasks that show progress in steps."""
+
 QUARANTINE_S = 4.0
 """Seconds until a worker in quarantine gets work again."""
 
@@ -170,9 +177,10 @@
         task.life = worker.life
         if row.checkpoint:
             task.checkpoint = row.checkpoint
-        if row.percent != task.percent:
+        if row.percent != task.percent or not task.progress_at:
             task.percent = row.percent
             task.progress_at = now
+        self._check_progress(task, worker, now)
         is_unwanted = task.step.occurrence.job.is_over or task.is_stopping
         if is_unwanted and task.state is not TaskState.DONE:
             self._books.stop(task)
@@ -237,6 +245,7 @@
             task.checkpoint = row.checkpoint
         if row.how is EndKind.DONE:
             worker.fail_streak = 0
+            self._learn_speed(task, worker, now)
             self._books.release(task)
             self._complete(task, now)
         elif row.how is EndKind.FAILED:
@@ -249,6 +258,37 @@
         if job.is_over:
             self._books.close_step(task.step)
 
+    def _learn_speed(self, task: Task, worker: Worker, now: float) -> None:
+        spec = task.step.spec
+        if spec.gang or spec.lasting or not task.confirmed_at or task.checkpoint:
+            return
+        queue = task.step.occurrence.job.spec.queue
+        took_s = now - task.confirmed_at
+        speeds = self._books.speeds
+        speeds.record(worker.id, queue, spec.estimate_s, took_s, now)
+
+    def _check_progress(self, task: Task, worker: Worker, now: float) -> None:
+        """Stop a run that stands still, and leave its worker alone for a while."""
+        spec = task.step.spec
+        if spec.lasting or task.is_stopping or task.state is not TaskState.RUNNING:
+            return
+        if spec.gang and any(not t.confirmed_at for t in task.step.tasks if t.worker):
+            return
+        since = max(task.progress_at, task.confirmed_at)
+        patience_s = max(STILL_S, STILL_SHARE * spec.estimate_s)
+        if now - since < patience_s or task.percent >= 100:
+            return
+        self._books.note(
+            "run_still",
+            task=list(task.id),
+            run=task.run,
+            on=worker.id,
+            percent=task.percent,
+            still_s=round(now - since, 2),
+        )
+        worker.quarantined_until = now + QUARANTINE_S
+        self._books.stop(task)
+
     def _complete(self, task: Task, now: float) -> None:
         step = task.step
         members = step.tasks if step.spec.gang else [task]
--- /dev/null
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/sharing.py
@@ -0,0 +1,23 @@
+"""Which tasks may share a worker.
+
+Tasks that fill use what the others leave, and disturb the ones that serve users. They
+are kept on different workers.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from .fleet import Worker
+    from .jobs import StepRun
+
+
+def may_share(step: StepRun, worker: Worker) -> bool:
+    """Whether a step's tasks may run beside what is placed on a worker."""
+    spec = step.spec
+    if spec.fills:
+        return not any(task.step.spec.target_s for task in worker.task_by_id.values())
+    if spec.target_s:
+        return not any(task.step.spec.fills for task in worker.task_by_id.values())
+    return True
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_host.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_host.py
@@ -24,7 +24,7 @@
 from .feeds import WorkerFeed
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine
+    from collections.abc import Callable, Coroutine, Mapping
     from typing import Any
 
     from jacinthloom_core.planner.effects import Effect
@@ -32,6 +32,7 @@
     from jacinthloom_core.planner.fleet import WorkerEntry
     from jacinthloom_core.planner.rules import Rules
 
+    from ..metrics import Latency
     from ..platform.log_store import LogStore
 
 LEASE_S = 6.0
@@ -50,7 +51,9 @@
         settings: PlannerSettings,
         ask_advice: Callable[[effects.AskAdvice], None],
         has_authority: Callable[[], bool],
+        append_latency: Latency,
     ) -> None:
+        self._append_latency = append_latency
         self._store = store
         self._planner = Planner(settings)
         self._term = settings.term
@@ -76,6 +79,11 @@
             effects.Note: lambda e: log.write(e.kind, **e.fields),
         }
 
+    @property
+    def counters(self) -> Mapping[str, int]:
+        """Decisions by kind."""
+        return self._planner.books.counters
+
     async def run(self, rules: Rules, zones_out: frozenset[str]) -> None:
         """Load the stored jobs, then plan until the term ends.
 
@@ -240,11 +248,13 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _append(self, store: effects.Store) -> None:
+        began = time.perf_counter()
         data = [encode_keyed(record) for record in store.records]
         if data:
             producer = Producer(topics.PRODUCER, self._term, next(self._sequence))
             if not await self._append_until_known(data, producer):
                 return
+            self._append_latency.record(time.perf_counter() - began)
         self.handle(events.BatchStored(time.monotonic(), store.number))
 
     async def _append_until_known(self, data: list[bytes], producer: Producer) -> bool:
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
@@ -12,6 +12,7 @@
 from jacinthloom_core.planner.election import Election
 from jacinthloom_wire.http_server import HttpServer, ServerLimits, ServerResponse
 
+from ..metrics import Latency
 from ..platform.advice_client import AdviceClient
 from ..platform.errors import FencedError, UnavailableError
 from ..platform.log_store import LogStore
@@ -19,6 +20,7 @@
 from .elections import ElectionFollower
 from .feeds import OperatorFeed
 from .front import Front
+from .metrics import METRICS_PORT, ProcessMetrics
 from .planner_host import LEASE_S, PlannerHost
 from .planner_link import PlannerLink, PlannerServer
 
@@ -70,6 +72,15 @@
         self._feed = OperatorFeed(self._store, self._on_rules, self._on_zones)
         self._front = Front(self._feed, self._link)
         self._host: PlannerHost | None = None
+        self._append_latency = Latency(
+            "jacinthloom_append_seconds", "Time from a batch to its acknowledgement."
+        )
+        self._metrics = ProcessMetrics(
+            self._front.counters,
+            (self._front.latency, self._append_latency),
+            lambda: self._host.counters if self._host is not None else {},
+            lambda: self._host is not None,
+        )
         self._term: asyncio.Task[None] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._stopping = asyncio.Event()
@@ -86,6 +97,9 @@
         limits = ServerLimits(max_connections=MAX_CONNECTIONS, max_body_bytes=1_048_576)
         clients = HttpServer(self._front.handle, limits)
         readiness = HttpServer(self._answer_readiness, limits)
+        metrics = HttpServer(self._metrics.answer, limits)
+        host_ip = settings.peer_address.rpartition(":")[0]
+        await metrics.start(f"{host_ip}:{METRICS_PORT}")
         await readiness.start(settings.ready_address)
         await self._peers.start(settings.peer_address)
         self._spawn(self._feed.follow())
@@ -182,7 +196,13 @@
             self._settings.status_s,
             self._settings.longest_lease_s,
         )
-        host = PlannerHost(self._store, settings, self._ask_advice, self._has_authority)
+        host = PlannerHost(
+            self._store,
+            settings,
+            self._ask_advice,
+            self._has_authority,
+            self._append_latency,
+        )
         self._host = host
         await self._feed.has_rules.wait()
         run = asyncio.create_task(host.run(self._feed.rules, self._feed.zones_out))
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/worker_client.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/worker_client.py
@@ -21,6 +21,9 @@
 ORDER_TIMEOUT_S = 0.8
 """Seconds for an order: workers answer within milliseconds unless they are cut off."""
 
+KEPT_CONNECTIONS = 16
+"""Idle connections kept for a worker: the starts that one batch orders on it."""
+
 HOLD_MARGIN_S = 0.6
 """Seconds beyond the wait that a hold was asked for."""
 
@@ -64,7 +67,7 @@
             ("Content-Type", "application/json"),
             ("X-Jacinthloom-Expect-Instance", worker),
         )
-        self._client = HttpClient(address)
+        self._client = HttpClient(address, KEPT_CONNECTIONS)
 
     async def hold(self, hold: Hold) -> Listing:
         """Renew the leases and return the worker's lists.
--- a/packages/jacinthloom-wire/src/jacinthloom_wire/http_client.py
+++ b/packages/jacinthloom-wire/src/jacinthloom_wire/http_client.py
@@ -75,7 +75,8 @@
 class HttpClient:
     """Send requests to one address; a silent connection ends with its timeout."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, kept: int = KEPT_CONNECTIONS) -> None:
+        self._kept = kept
         host, _, rest = address.partition(":")
         port, slash, prefix = rest.partition("/")
         self._host = host
@@ -162,7 +163,7 @@
         return data + (state.send(h11.EndOfMessage()) or b"")
 
     def _keep(self, connection: _Connection) -> None:
-        if connection.is_reusable and len(self._idle) < KEPT_CONNECTIONS:
+        if connection.is_reusable and len(self._idle) < self._kept:
             self._idle.append(connection)
         else:
             connection.close()
--- a/testkit/planning/worker.py
+++ b/testkit/planning/worker.py
@@ -39,6 +39,8 @@
     stopping: bool = False
     checkpoint: str = ""
     works: bool = False
+    began_at: float = 0.0
+    duration: float = 1.0
 
 
 class Gangs:
@@ -157,7 +159,9 @@
 
     def _work(self, task: TaskId, run: _Run) -> None:
         run.works = True
+        run.began_at = self._clock.now
         duration = self._random.uniform(0.2, 3.0)
+        run.duration = duration
         poisoned = "poison" in self._judge.job_by_id[task.job].payload
         fails = self.fails_all or poisoned or self._random.random() < 0.02
         how = EndKind.FAILED if fails else EndKind.DONE
@@ -231,11 +235,17 @@
                 self._judge.on_noted(row.task, row.how, self._ended_at[row.number])
         self._ends = [row for row in self._ends if row.number > hold.cursor]
         running = tuple(
-            RunningRow(task, run.run, run.checkpoint, 0)
+            RunningRow(task, run.run, run.checkpoint, self._measure(run))
             for task, run in self._runs.items()
         )
         return running, tuple(self._ends)
 
+    def _measure(self, run: _Run) -> int:
+        if not run.works:
+            return 0
+        worked = self._clock.now - run.began_at
+        return min(99, int(100 * worked / run.duration))
+
     def _extend(self, deadline_ms: float) -> None:
         longest = self.clock_ms + LONGEST_LEASE_MS
         self._lease_ms = max(self._lease_ms, min(deadline_ms, longest))
--- /dev/null
+++ b/tests/planner/test_sharing.py
@@ -0,0 +1,44 @@
+"""Loads of tasks that fill beside tasks that serve users."""
+
+from __future__ import annotations
+
+import unittest
+
+from jacinthloom_core.planner.fleet import Worker
+from jacinthloom_core.planner.jobs import Job
+from jacinthloom_core.planner.sharing import may_share
+from jacinthloom_core.planner.specs import JobSpec, StepSpec
+from jacinthloom_core.resources import Resources
+
+SIZE = Resources(100, 100)
+SERVING = StepSpec(1, SIZE, lasting=True, target_s=0.05)
+FILLING = StepSpec(1, SIZE, lasting=True, fills=True)
+BATCH = StepSpec(1, SIZE, 2.0)
+
+
+def make_worker(spec: StepSpec) -> Worker:
+    """Return a worker with one task of a step on it."""
+    job = Job(JobSpec("b" * 16, "q", "t", "", (spec,), 0))
+    task = job.add_occurrence(0).steps[0].tasks[0]
+    worker = Worker("w", 1)
+    worker.task_by_id[task.id] = task
+    return worker
+
+
+class SharingTest(unittest.TestCase):
+    def test_fillers_and_servers_are_kept_apart(self) -> None:
+        for present, wanted, allowed in (
+            (SERVING, FILLING, False),
+            (FILLING, SERVING, False),
+            (FILLING, FILLING, True),
+            (SERVING, SERVING, True),
+            (SERVING, BATCH, True),
+            (BATCH, FILLING, True),
+        ):
+            step = Job(JobSpec("c" * 16, "q", "t", "", (wanted,), 0))
+            run = step.add_occurrence(0).steps[0]
+            self.assertEqual(may_share(run, make_worker(present)), allowed)
+
+
+if __name__ == "__main__":
+    unittest.main()
