Ask a silent store again sooner; split large modules by concern

A planner that workers had fenced went on abdicating every second.

Ruled out: shorter times for reads that wait (they are long polls).

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/advice.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/advice.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from .fleet import Worker
+    from .order import Rank
     from .rules import AdvicePolicy
     from .specs import StepId
 
@@ -58,7 +59,7 @@
 
 @dataclass(order=True, slots=True)
 class _Request:
-    urgency: float
+    rank: Rank
     number: int
     step: StepId = field(compare=False)
     workers: tuple[str, ...] = field(compare=False)
@@ -98,13 +99,13 @@
         step: StepId,
         workers: tuple[str, ...],
         policy: AdvicePolicy,
-        urgency: float,
+        rank: Rank,
     ) -> None:
-        """Queue a request; lower urgencies go first."""
+        """Queue a request; lower ranks go first."""
         self.find(step).is_asking = True
         self._count += 1
         asked = workers[:MAX_ASKED]
-        request = _Request(urgency, self._count, step, asked, policy)
+        request = _Request(rank, self._count, step, asked, policy)
         heapq.heappush(self._waiting, request)
 
     def dispatch(self, now: float) -> list[AskAdvice]:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/books.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/books.py
@@ -152,6 +152,14 @@
         address = worker.entry.address
         self.effects.append(Stop(worker.id, address, worker.token, task.id, task.run))
 
+    def abort_gang(self, task: Task) -> None:
+        """Stop the other members of a run that can't go on without one of them."""
+        if not task.step.spec.gang or task.state is TaskState.DONE:
+            return
+        for member in task.step.tasks:
+            if member.worker and not member.is_stopping:
+                self.stop(member)
+
     def open_steps(self, occurrence: Occurrence) -> None:
         """Offer the steps whose turn has come."""
         for step in find_ready_steps(occurrence):
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/fleet.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/fleet.py
@@ -74,7 +74,6 @@
     hold_due: float = 0.0
     answered_at: float = float("-inf")
     failed_holds: int = 0
-    is_lost: bool = False
     task_by_id: dict[TaskId, Task] = field(default_factory=dict)
     foreign: dict[tuple[TaskId, int], Resources] = field(default_factory=dict)
     free_processors: int = 0
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
@@ -80,9 +80,10 @@
 class StepRun:
     """One step of one occurrence.
 
+    :param done: tasks that have ended as done
     :param run: latest run of a gang; all its members share it
     :param failures: failed runs of a gang
-    :param is_over: whether the job needs no more of it
+    :param failed_run: latest run of a gang that has failed
     """
 
     id: StepId
@@ -93,7 +94,6 @@
     run: int = 0
     failures: int = 0
     failed_run: int = 0
-    ready_at: float = 0.0
 
     @property
     def is_done(self) -> bool:
@@ -112,7 +112,6 @@
     job: Job
     index: int
     steps: list[StepRun] = field(default_factory=list)
-    has_started: bool = False
 
     @property
     def is_done(self) -> bool:
@@ -125,6 +124,7 @@
     """One accepted job.
 
     :param outcome: its final state, once decided
+    :param created: occurrences that exist so far
     :param is_stored: whether the record of it is stored
     :param is_final_stored: whether its final state is stored
     :param final_at: time at which its final state was decided
@@ -133,7 +133,6 @@
     spec: JobSpec
     occurrences: dict[int, Occurrence] = field(default_factory=dict)
     created: int = 0
-    finished: int = 0
     outcome: JobState | None = None
     is_stored: bool = False
     is_final_stored: bool = False
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/placing.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/placing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from .effects import Start
@@ -23,6 +24,37 @@
 """Priority of queues whose steps may use room that is kept for a gang."""
 
 
+HOPELESS = 2
+"""Lateness from which a step earns nothing: no room is kept for it."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Turn:
+    """One step in one pass.
+
+    :param waiting: its tasks that may be placed
+    :param advice: what is known about workers, or None if any may run it
+    """
+
+    step: StepRun
+    queue: Queue
+    waiting: list[Task]
+    advice: StepAdvice | None
+    rank: Rank
+    now: float
+
+    def may_be_good(self, worker: Worker) -> bool:
+        """Whether a worker is not known to be refused."""
+        return self.advice is None or self.advice.may_be_good(worker)
+
+    def select_ticketed(self, workers: list[Worker]) -> list[Worker]:
+        """Return the workers on which the step may start now."""
+        advice = self.advice
+        if advice is None:
+            return workers
+        return [w for w in workers if advice.find_ticket(w, self.now)]
+
+
 class Placing:
     """Places waiting tasks on workers, in the order of their ranks."""
 
@@ -44,7 +76,8 @@
         for rank, step, queue in self._sort_ready():
             waiting = step.waiting()
             if waiting:
-                self._serve(step, queue, waiting, usable, rank, now)
+                advice = books.desk.find(step.id) if queue.advice else None
+                self._serve(_Turn(step, queue, waiting, advice, rank, now), usable)
 
     def _is_usable(self, worker: Worker, now: float) -> bool:
         if not worker.is_usable(now) or worker.entry is None:
@@ -61,58 +94,42 @@
         rows.sort(key=lambda row: (row[0], row[1].id))
         return rows
 
-    def _serve(
-        self,
-        step: StepRun,
-        queue: Queue,
-        waiting: list[Task],
-        usable: list[Worker],
-        rank: Rank,
-        now: float,
-    ) -> None:
-        spec = step.spec
+    def _serve(self, turn: _Turn, usable: list[Worker]) -> None:
+        step, spec = turn.step, turn.step.spec
         fitting = [
             worker
             for worker in usable
             if worker.entry is not None
-            and worker.entry.service == queue.service
+            and worker.entry.service == turn.queue.service
             and (not spec.label or spec.label in worker.entry.labels)
             and may_share(step, worker)
         ]
-        advice = self._books.desk.find(step.id) if queue.advice else None
-        if advice is not None and not advice.is_good_by_worker:
+        if turn.advice is not None and not turn.advice.is_good_by_worker:
             self.reason_by_step[step.id] = (
                 f"no advice yet on {len(fitting)} workers of {len(usable)}"
             )
-            self._ask(step, queue, advice, fitting, rank, now)
+            self._ask(turn, fitting)
             return
-        good = [w for w in fitting if advice is None or advice.may_be_good(w)]
-        if queue.priority > URGENT_PRIORITY:
+        good = [worker for worker in fitting if turn.may_be_good(worker)]
+        if turn.queue.priority > URGENT_PRIORITY:
             good = [worker for worker in good if worker.id not in self._kept]
         tenant = step.occurrence.job.spec.tenant
         allowed = self._books.count_allowed(tenant, spec.size)
         if spec.gang:
-            self._serve_gang(step, queue, waiting, good, advice, allowed, rank, now)
+            self._serve_gang(turn, good, allowed)
         elif not allowed:
             self.reason_by_step[step.id] = "its client account is at its limit"
         else:
-            self._serve_tasks(step, queue, waiting[:allowed], good, advice, rank, now)
+            self._serve_tasks(turn, good, turn.waiting[:allowed])
 
     def _serve_tasks(
-        self,
-        step: StepRun,
-        queue: Queue,
-        waiting: list[Task],
-        good: list[Worker],
-        advice: StepAdvice | None,
-        rank: Rank,
-        now: float,
+        self, turn: _Turn, good: list[Worker], waiting: list[Task]
     ) -> None:
-        ticketed = [w for w in good if advice is None or advice.find_ticket(w, now)]
-        placed = place_tasks(step, waiting, ticketed)
+        step = turn.step
+        placed = place_tasks(step, waiting, turn.select_ticketed(good))
         for task, worker in placed:
-            self._commit(task, worker, max(task.run, 0) + 1)
-        if advice is None or len(placed) == len(waiting):
+            self._commit(task, worker, task.run + 1)
+        if turn.advice is None or len(placed) == len(waiting):
             return
         left = [task for task in waiting if not task.worker]
         wanted = place_tasks(step, left, good)
@@ -120,42 +137,29 @@
             f"{len(wanted)} of {len(left)} tasks have room without a ticket"
         )
         if wanted:
-            names = {worker.id: worker for _, worker in wanted}
-            self._ask(step, queue, advice, list(names.values()), rank, now)
-
-    def _serve_gang(
-        self,
-        step: StepRun,
-        queue: Queue,
-        waiting: list[Task],
-        good: list[Worker],
-        advice: StepAdvice | None,
-        allowed: int,
-        rank: Rank,
-        now: float,
-    ) -> None:
-        self.reason_by_step[step.id] = (
-            f"gang: {len(waiting)} of {step.spec.count} are free to start,"
-            f" {allowed} allowed"
-        )
+            self._ask(turn, [worker for _, worker in wanted])
+
+    def _serve_gang(self, turn: _Turn, good: list[Worker], allowed: int) -> None:
+        step, waiting = turn.step, turn.waiting
         if len(waiting) < step.spec.count or allowed < step.spec.count:
+            self.reason_by_step[step.id] = (
+                f"gang: {len(waiting)} of {step.spec.count} are free to start,"
+                f" {allowed} allowed"
+            )
             return
-        ticketed = [w for w in good if advice is None or advice.find_ticket(w, now)]
-        placed = place_gang(step, waiting, ticketed)
+        placed = place_gang(step, waiting, turn.select_ticketed(good))
         if placed:
             step.run = max(step.run, *(task.run for task in waiting)) + 1
             checkpoint = next((t.checkpoint for t in waiting if t.checkpoint), "")
             for task, worker in placed:
                 task.checkpoint = checkpoint
                 self._commit(task, worker, step.run)
-            del self.reason_by_step[step.id]
             return
         self.reason_by_step[step.id] = "there is no room for the whole gang"
         wanted = place_gang(step, waiting, good)
-        if wanted and advice is not None:
-            names = {worker.id: worker for _, worker in wanted}
-            self._ask(step, queue, advice, list(names.values()), rank, now)
-        elif not wanted and not self._kept and rank[0] < 2:
+        if wanted:
+            self._ask(turn, [worker for _, worker in wanted])
+        elif not self._kept and turn.rank[0] < HOPELESS:
             self._keep_room(step, good)
 
     def _keep_room(self, step: StepRun, good: list[Worker]) -> None:
@@ -166,25 +170,18 @@
             if missing <= 0 or worker.entry is None:
                 return
             self._kept.add(worker.id)
-            missing -= max(
-                1, worker.entry.capacity.processors // max(1, size.processors)
-            )
+            whole = worker.entry.capacity.processors // max(1, size.processors)
+            missing -= max(1, whole)
 
-    def _ask(
-        self,
-        step: StepRun,
-        queue: Queue,
-        advice: StepAdvice,
-        workers: list[Worker],
-        rank: Rank,
-        now: float,
-    ) -> None:
-        if advice.is_asking or now < advice.retry_at or not workers:
+    def _ask(self, turn: _Turn, workers: list[Worker]) -> None:
+        """Ask which of some workers may run the step, unless that is under way."""
+        advice, policy = turn.advice, turn.queue.advice
+        if advice is None or policy is None or not workers:
+            return
+        if advice.is_asking or turn.now < advice.retry_at:
             return
-        assert queue.advice is not None
-        urgency = rank[0] * 1e12 + rank[1] * 1e10 + rank[2]
-        names = tuple(worker.id for worker in workers)
-        self._books.desk.ask(step.id, names, queue.advice, urgency)
+        names = tuple(dict.fromkeys(worker.id for worker in workers))
+        self._books.desk.ask(turn.step.id, names, policy, turn.rank)
 
     def _commit(self, task: Task, worker: Worker, run: int) -> None:
         """Record a placement; the order leaves once the record is stored."""
@@ -244,9 +241,7 @@
         return ticket.text
 
     def _start(self, task: Task, now: float) -> None:
-        occurrence = task.step.occurrence
-        occurrence.has_started = True
-        occurrence.job.has_started = True
+        task.step.occurrence.job.has_started = True
         task.state = TaskState.STARTING
         task.placed_at = now
         task.percent = 0
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/records.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/records.py
@@ -156,7 +156,6 @@
 def _decode_occurrence(job: Job, index: int, value: bytes) -> None:
     plain = msgpack.unpackb(value)
     occurrence = job.add_occurrence(index)
-    occurrence.has_started = True
     job.has_started = True
     if plain[1]:
         for step in occurrence.steps:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/runs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/runs.py
@@ -5,14 +5,14 @@
 from typing import TYPE_CHECKING
 
 from .effects import Hold, StepDown, Stop
-from .events import EndKind, HoldAnswered, StartOutcome
-from .jobs import JobState, TaskState
+from .ends import QUARANTINE_S, Ends
+from .events import HoldAnswered, StartOutcome
+from .jobs import TaskState
 from .ledger import StoredEnd
 
 if TYPE_CHECKING:
     from .books import Books
     from .events import (
-        EndRow,
         HoldFailed,
         RunningRow,
         StartAnswered,
@@ -36,26 +36,13 @@
 START_RETRY_S = 0.25
 """Seconds until a start without an answer is repeated: it is idempotent."""
 
-STREAK_LIMIT = 2
-"""Failed runs in a row, of different jobs, after which a worker is in quarantine."""
-
-STILL_S = 2.0
-"""Seconds without progress after which a run stands still: twice the longest time
-between two lists."""
-
-STILL_SHARE = 0.5
-"""The same as a share of the estimate, for long tasks that show progress in steps."""
-
-QUARANTINE_S = 4.0
-"""Seconds until a worker in quarantine gets work again."""
-
 
 class Runs:
     """Settles what runs where, from the workers' own lists."""
 
     def __init__(self, books: Books, intake: Intake) -> None:
         self._books = books
-        self._intake = intake
+        self._ends = Ends(books, intake)
 
     # Holds
 
@@ -119,7 +106,6 @@
             return
         worker.answered_at = event.now
         worker.told_cursor = max(worker.told_cursor, worker.sent_cursor)
-        worker.is_lost = False
         if worker.fenced_life != event.life:
             worker.fenced_life = event.life
             self._books.needs_pass = True
@@ -146,7 +132,7 @@
     def _reduce_ends(self, worker: Worker, event: HoldAnswered) -> None:
         news = [row for row in event.ends if row.number > worker.seen_end]
         for row in news:
-            self._reduce_end(worker, row, event.now)
+            self._ends.reduce(worker, row, event.now)
             worker.seen_end = row.number
         if news:
             end = StoredEnd(worker.id, worker.life, worker.seen_end)
@@ -180,7 +166,7 @@
         if row.percent != task.percent or not task.progress_at:
             task.percent = row.percent
             task.progress_at = now
-        self._check_progress(task, worker, now)
+        self._ends.check_progress(task, worker, now)
         is_unwanted = task.step.occurrence.job.is_over or task.is_stopping
         if is_unwanted and task.state is not TaskState.DONE:
             self._books.stop(task)
@@ -201,7 +187,7 @@
             "run_lost", task=list(task.id), run=task.run, on=task.worker, reason=reason
         )
         self._books.requeue(task)
-        self._abort_gang(task)
+        self._books.abort_gang(task)
 
     def _stop_foreign(self, worker: Worker, row: RunningRow) -> None:
         key = (row.task, row.run)
@@ -227,107 +213,6 @@
         tasks = occurrence.steps[task_id.step].tasks
         return tasks[task_id.position] if task_id.position < len(tasks) else None
 
-    # Ends
-
-    def _reduce_end(self, worker: Worker, row: EndRow, now: float) -> None:
-        task = worker.task_by_id.get(row.task)
-        if task is None or task.run != row.run:
-            return
-        job = task.step.occurrence.job
-        self._books.note(
-            "run_ended",
-            task=list(row.task),
-            run=row.run,
-            on=worker.id,
-            how=row.how.value,
-        )
-        if row.checkpoint:
-            task.checkpoint = row.checkpoint
-        if row.how is EndKind.DONE:
-            worker.fail_streak = 0
-            self._learn_speed(task, worker, now)
-            self._books.release(task)
-            self._complete(task, now)
-        elif row.how is EndKind.FAILED:
-            self._count_failure(task, worker, now)
-            self._books.requeue(task)
-        else:
-            self._books.requeue(task)
-            if row.how is not EndKind.BROKEN:
-                self._abort_gang(task)
-        if job.is_over:
-            self._books.close_step(task.step)
-
-    def _learn_speed(self, task: Task, worker: Worker, now: float) -> None:
-        spec = task.step.spec
-        if spec.gang or spec.lasting or not task.confirmed_at or task.checkpoint:
-            return
-        queue = task.step.occurrence.job.spec.queue
-        took_s = now - task.confirmed_at
-        speeds = self._books.speeds
-        speeds.record(worker.id, queue, spec.estimate_s, took_s, now)
-
-    def _check_progress(self, task: Task, worker: Worker, now: float) -> None:
-        """Stop a run that stands still, and leave its worker alone for a while."""
-        spec = task.step.spec
-        if spec.lasting or task.is_stopping or task.state is not TaskState.RUNNING:
-            return
-        if spec.gang and any(not t.confirmed_at for t in task.step.tasks if t.worker):
-            return
-        since = max(task.progress_at, task.confirmed_at)
-        patience_s = max(STILL_S, STILL_SHARE * spec.estimate_s)
-        if now - since < patience_s or task.percent >= 100:
-            return
-        self._books.note(
-            "run_still",
-            task=list(task.id),
-            run=task.run,
-            on=worker.id,
-            percent=task.percent,
-            still_s=round(now - since, 2),
-        )
-        worker.quarantined_until = now + QUARANTINE_S
-        self._books.stop(task)
-
-    def _complete(self, task: Task, now: float) -> None:
-        step = task.step
-        members = step.tasks if step.spec.gang else [task]
-        for member in members:
-            if member.state is not TaskState.DONE:
-                member.state = TaskState.DONE
-                step.done += 1
-        self._books.change(step.occurrence)
-        if not step.is_done or step.occurrence.job.is_over:
-            return
-        self._books.close_step(step)
-        if step.occurrence.is_done:
-            self._intake.check_finished(step.occurrence.job, now)
-        else:
-            self._books.open_steps(step.occurrence)
-
-    def _count_failure(self, task: Task, worker: Worker, now: float) -> None:
-        if not task.failed_on:
-            worker.fail_streak += 1
-        task.failed_on.add(worker.id)
-        if worker.fail_streak >= STREAK_LIMIT:
-            worker.quarantined_until = now + QUARANTINE_S
-            self._books.note("worker_quarantined", worker=worker.id)
-        step = task.step
-        job = step.occurrence.job
-        if step.spec.gang:
-            if task.run > step.failed_run:
-                step.failed_run = task.run
-                step.failures += 1
-            failures = step.failures
-        else:
-            task.failures += 1
-            failures = task.failures
-        queue = self._books.queue_by_name.get(job.spec.queue)
-        if step.spec.lasting or queue is None or failures < queue.max_attempts:
-            return
-        self._books.finish(job, JobState.FAILED, now)
-        self._intake.stop_tasks(job)
-
     # Orders
 
     def on_start_answered(self, event: StartAnswered) -> None:
@@ -377,15 +262,7 @@
             advice = self._books.desk.find(task.step.id)
             advice.ticket_by_worker.pop(worker.id, None)
         self._books.requeue(task)
-        self._abort_gang(task)
-
-    def _abort_gang(self, task: Task) -> None:
-        """Stop the other members of a run that can't go on without one of them."""
-        if not task.step.spec.gang or task.state is TaskState.DONE:
-            return
-        for member in task.step.tasks:
-            if member.worker and not member.is_stopping:
-                self._books.stop(member)
+        self._books.abort_gang(task)
 
     def on_stop_answered(self, event: StopAnswered) -> None:
         """Note that a run can't begin any more; the next list settles it."""
@@ -429,7 +306,6 @@
                 continue
             if not worker.is_out_of_contact:
                 continue
-            worker.is_lost = True
             for task in list(worker.task_by_id.values()):
                 if task.state is not TaskState.PLACED:
                     self._lose(task, "lease lapsed")
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/elections.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/elections.py
@@ -129,6 +129,10 @@
             self._election.on_renewed(offset, sent_at)
             await asyncio.sleep(max(0.0, sent_at + RENEW_S - time.monotonic()))
 
+    def stop_renewing(self) -> None:
+        """Renew no longer; others may claim after a while."""
+        self._renews = False
+
     async def release(self) -> None:
         """Give the claim up, so that another member need not wait."""
         if not self._election.is_planner:
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
@@ -22,9 +22,13 @@
 from .front import Front
 from .metrics import METRICS_PORT, ProcessMetrics
 from .planner_host import LEASE_S, PlannerHost
-from .planner_link import PlannerLink, PlannerServer
+from .planner_link import PlannerLink
+from .planner_server import PlannerServer
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
+    from typing import Any
+
     from jacinthloom_core.planner.effects import AskAdvice
     from jacinthloom_core.planner.election import Term
     from jacinthloom_core.planner.rules import Rules
@@ -81,7 +85,6 @@
             lambda: self._host.counters if self._host is not None else {},
             lambda: self._host is not None,
         )
-        self._term: asyncio.Task[None] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._stopping = asyncio.Event()
 
@@ -121,8 +124,8 @@
         await clients.close(max(0.1, stop_at - time.monotonic()))
         log.write("stop", node=settings.name)
 
-    def _spawn(self, work: object) -> asyncio.Task[None]:
-        task: asyncio.Task[None] = asyncio.create_task(work)  # type: ignore[arg-type]
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._on_task_done)
         return task
@@ -218,6 +221,8 @@
             log.write("term_lost", term=term.number)
         finally:
             ready.cancel()
+            if self._election.term == term:
+                self._elections.stop_renewing()
             if self._host is host:
                 self._host = None
             self._link.set_local(None)
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/log_store.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/log_store.py
@@ -27,10 +27,11 @@
     from jacinthloom_core.planner.records import Record
     from jacinthloom_wire.http_client import Response
 
-CALL_TIMEOUT_S = 1.5
-"""Seconds for one call: a slow store takes 60 times its usual 4 ms, and then some."""
+CALL_TIMEOUT_S = 0.9
+"""Seconds for one call: a slow store takes 60 times its usual 4 ms, and then some; a
+silent one is asked again soon after its return."""
 
-WAIT_MARGIN_S = 0.8
+WAIT_MARGIN_S = 0.6
 """Seconds beyond the wait that a read was asked for."""
 
 MAX_KEY_BYTES = 255
