--- a/testkit/planning/judge.py
+++ b/testkit/planning/judge.py
@@ -14,6 +14,10 @@
     from .worker import VirtualWorker
 
 
+CANCEL_S = 3.0
+"""Seconds after an acknowledged cancel from which nothing of the job may start."""
+
+
 class RuleBrokenError(AssertionError):
     """A rule was broken."""
 
@@ -28,6 +32,7 @@
         self.accepted: set[str] = set()
         self.refused: set[str] = set()
         self.cancelled_at: dict[str, float] = {}
+        self.cancel_stored_at: dict[str, float] = {}
         self.running: dict[TaskId, tuple[VirtualWorker, int]] = {}
         self.noted_done: set[TaskId] = set()
         self.done: set[TaskId] = set()
@@ -54,6 +59,8 @@
             raise RuleBrokenError(f"{task} runs twice at {now}")
         if task in self.noted_done:
             raise RuleBrokenError(f"{task} starts after its end was noted")
+        if now - self.cancel_stored_at.get(task.job, now) > CANCEL_S:
+            raise RuleBrokenError(f"{task} starts after its job was cancelled")
         step = self.find_step(task)
         for number in step.after:
             earlier = spec.steps[number]
@@ -69,6 +76,14 @@
         limit = self._limit_by_tenant[spec.tenant]
         if self.usage[spec.tenant] > limit * 1.1 + step.size.processors:
             raise RuleBrokenError(f"{spec.tenant} uses {self.usage[spec.tenant]}")
+        if step.most_per_worker:
+            present = [
+                other
+                for other, (place, _) in self.running.items()
+                if place is worker and other.step_id == task.step_id
+            ]
+            if len(present) > step.most_per_worker:
+                raise RuleBrokenError(f"{worker.id} has too many of {task.step_id}")
         if worker.count_used() > worker.capacity.processors:
             raise RuleBrokenError(f"{worker.id} is over its capacity")
 
--- a/testkit/planning/world.py
+++ b/testkit/planning/world.py
@@ -382,6 +382,8 @@
         kind, job = self._call_by_number[reply.call]
         if kind == "submit" and reply.status == 200:
             self.judge.accepted.add(job)
+        if kind == "cancel" and reply.status == 200:
+            self.judge.cancel_stored_at.setdefault(job, self.clock.now)
 
     def _order(
         self,
