Test entry processes on the platform against stand-ins over sockets

The parallel test run could not pickle its own function (first try: BrokenProcessPool).

Change: testkit/hosted has a log store (conditions, epochs, sequence numbers, lost answers, forgotten history), workers, and entry processes as processes; seven tests play a served job, bad calls, a killed planner, a planned stop, lost answers, an outage and a forgotten history. tests/module_runs holds what the pool runs.

Ruled out: processes in the test's own loop (signals and kills need their own).

--- /dev/null
+++ b/testkit/hosted/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the users' platform over sockets, and entry processes beside them."""
--- /dev/null
+++ b/testkit/hosted/deployment.py
@@ -0,0 +1,175 @@
+"""A small deployment: the store, workers, and entry processes of their own."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from jacinthloom_wire.errors import TransportError
+from jacinthloom_wire.http_client import HttpClient, Response
+
+from .log_store import LogStoreStandIn
+from .worker import WorkerStandIn
+
+SERVICE = "pool"
+KEY = "key-of-team"
+PREFIX = "/checks/"
+
+SETTINGS = """\
+node={name}
+zone=z
+ip={ip}
+listen.front={ip}:{front}
+listen.ready={ip}:{ready}
+portRange={peer},{peer}
+platform.address={store}
+bounds.holdMaxMs=10000
+bounds.graceS=3
+"""
+
+
+def make_configuration(hosts: list[str]) -> dict[str, object]:
+    """Return a configuration with one queue for each host name."""
+    routes = [
+        {
+            "name": f"checks-{host}",
+            "host": host,
+            "pathPrefix": PREFIX,
+            "service": SERVICE,
+            "priority": 0,
+            "maxAttempts": 2,
+            "stretch": 1.5,
+            "targetLatencyMs": 250,
+        }
+        for host in hosts
+    ]
+    tenants = [{"name": "team", "apiKeys": [KEY], "weight": 1}]
+    return {"version": 3, "routes": routes, "tenants": tenants}
+
+
+class Deployment:
+    """Start, call, kill and stop; each process has a loopback address of its own."""
+
+    def __init__(self, processes: int = 2, workers: int = 2) -> None:
+        self.store = LogStoreStandIn()
+        self.workers = [WorkerStandIn(f"i-{number}") for number in range(workers)]
+        self._folder = tempfile.TemporaryDirectory()
+        self._ips = [f"127.0.0.{10 + number}" for number in range(processes)]
+        self.process_by_ip: dict[str, subprocess.Popen[bytes]] = {}
+        self._port = 0
+        self._settings_by_ip: dict[str, Path] = {}
+
+    async def start(self) -> None:
+        """Start everything and wait until each process is ready."""
+        store = await self.store.start()
+        configuration = json.dumps(make_configuration(self._ips)).encode()
+        await self.store.put("keyed.op", "config", configuration)
+        for worker in self.workers:
+            await worker.start()
+            await self.store.put("keyed.servers", worker.id, worker.describe(SERVICE))
+        front, ready, peer = find_free_ports(3)
+        self._port = front
+        for number, ip in enumerate(self._ips):
+            text = SETTINGS.format(
+                name=f"e{number}",
+                ip=ip,
+                front=front,
+                ready=ready,
+                peer=peer,
+                store=store,
+            )
+            path = Path(self._folder.name) / f"{ip}.conf"
+            path.write_text(text)
+            self._settings_by_ip[ip] = path
+            self.start_process(ip)
+        for ip in self._ips:
+            await self._wait_ready(f"{ip}:{ready}")
+
+    def start_process(self, ip: str) -> None:
+        """Start an entry process."""
+        log = Path(self._folder.name) / f"{ip}.log"
+        with log.open("ab") as output:
+            self.process_by_ip[ip] = subprocess.Popen(
+                [sys.executable, "-m", "jacinthloom_daemon.hosted"],
+                env=os.environ
+                | {"JACINTHLOOM_NODE_FILE": str(self._settings_by_ip[ip])},
+                stdout=output,
+                stderr=output,
+            )
+
+    async def _wait_ready(self, address: str) -> None:
+        client = HttpClient(address)
+        async with asyncio.timeout(20):
+            while True:
+                try:
+                    response = await client.request("GET", "/readiness", timeout=1.0)
+                    if response.status == 200:
+                        return
+                except TransportError:
+                    pass
+                await asyncio.sleep(0.1)
+
+    def read_log(self, ip: str) -> list[dict[str, Any]]:
+        """Return the lines that the process of an address has written."""
+        lines = (Path(self._folder.name) / f"{ip}.log").read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+    def find_planner(self) -> str:
+        """Return the address of the process that became planner last."""
+        at_by_ip = {
+            ip: line["at"]
+            for ip in self._ips
+            for line in self.read_log(ip)
+            if line["event"] == "planner_ready"
+        }
+        return max(at_by_ip, key=lambda ip: at_by_ip[ip])
+
+    async def call(
+        self, ip: str, method: str, job: str, body: object = None
+    ) -> Response:
+        """Call an entry process as a client."""
+        client = HttpClient(f"{ip}:{self._port}")
+        headers = (("Authorization", f"Token {KEY}"),)
+        data = b"" if body is None else json.dumps(body).encode()
+        try:
+            return await client.request(
+                method, PREFIX + job, data, headers, timeout=4.0
+            )
+        finally:
+            client.close()
+
+    def kill(self, ip: str) -> None:
+        """Kill a process that this deployment started."""
+        self.process_by_ip[ip].send_signal(signal.SIGKILL)
+        self.process_by_ip[ip].wait()
+
+    async def close(self) -> None:
+        """Stop everything that was started."""
+        for process in self.process_by_ip.values():
+            if process.poll() is None:
+                process.kill()
+                process.wait()
+        for worker in self.workers:
+            await worker.close()
+        await self.store.close()
+        self._folder.cleanup()
+
+
+def find_free_ports(count: int) -> list[int]:
+    """Return ports that nothing listens on."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for found in sockets:
+            found.bind(("127.0.0.1", 0))
+        return [found.getsockname()[1] for found in sockets]
+    finally:
+        for found in sockets:
+            found.close()
--- /dev/null
+++ b/testkit/hosted/worker.py
@@ -0,0 +1,121 @@
+"""A stand-in for a worker of the platform: fences, runs, ends and cursors."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from typing import Any
+
+from jacinthloom_wire.http_server import HttpServer, Request, ServerResponse
+
+RUN_S = 0.3
+"""Seconds that each run takes."""
+
+
+class WorkerStandIn:
+    """One worker; it starts whatever it is told to.
+
+    :ivar started: task and run of every start that was carried out
+    """
+
+    def __init__(self, name: str, run_s: float = RUN_S) -> None:
+        self.id = name
+        self.run_s = run_s
+        self.started: list[tuple[str, int]] = []
+        self._born = int(time.time() * 1000)
+        self._token = 0
+        self._runs: dict[str, int] = {}
+        self._highest: dict[str, int] = {}
+        self._ends: list[list[Any]] = []
+        self._count = 0
+        self._news = asyncio.Event()
+        self._server = HttpServer(self._handle)
+        self.address = ""
+
+    async def start(self) -> None:
+        """Listen."""
+        self.address = await self._server.start("127.0.0.1:0")
+
+    async def close(self) -> None:
+        """Stop."""
+        await self._server.close(0.1)
+
+    def describe(self, service: str) -> bytes:
+        """Return its entry in the list of workers."""
+        entry = {
+            "service": service,
+            "address": self.address,
+            "zone": "z",
+            "state": "ready",
+            "capacity": {"cpu": 8000, "memMb": 8000, "gpu": 0},
+            "labels": ["a", "r1-1"],
+            "born": self._born,
+        }
+        return json.dumps(entry).encode()
+
+    @property
+    def _clock_ms(self) -> int:
+        return int(time.time() * 1000) - self._born
+
+    async def _handle(self, request: Request) -> ServerResponse:
+        body = json.loads(request.body)
+        if request.headers.get("x-jacinthloom-expect-instance") != self.id:
+            return ServerResponse.from_json(421, {"clockMs": self._clock_ms})
+        if body["fencingToken"] < self._token:
+            return self._refuse("fence")
+        self._token = body["fencingToken"]
+        if request.path == "/run-start":
+            return self._on_start(body)
+        if request.path == "/run-stop":
+            return self._on_stop(body)
+        return await self._on_hold(body)
+
+    def _refuse(self, reason: str) -> ServerResponse:
+        return ServerResponse.from_json(
+            409, {"clockMs": self._clock_ms, "reason": reason}
+        )
+
+    def _on_start(self, body: dict[str, Any]) -> ServerResponse:
+        task, run = body["task"], body["run"]
+        if self._runs.get(task) != run:
+            if task in self._runs or run <= self._highest.get(task, 0):
+                return self._refuse("old")
+            self._runs[task] = self._highest[task] = run
+            self.started.append((task, run))
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.run_s, self._end, task, run, "done")
+        return ServerResponse.from_json(200, {"clockMs": self._clock_ms})
+
+    def _on_stop(self, body: dict[str, Any]) -> ServerResponse:
+        task, run = body["task"], body["run"]
+        if self._runs.get(task) == run:
+            self._end(task, run, "stopped")
+        self._highest[task] = max(self._highest.get(task, 0), run)
+        return ServerResponse.from_json(200, {"clockMs": self._clock_ms})
+
+    def _end(self, task: str, run: int, how: str) -> None:
+        if self._runs.get(task) != run:
+            return
+        del self._runs[task]
+        self._count += 1
+        self._ends.append([self._count, task, run, how, ""])
+        self._news.set()
+
+    async def _on_hold(self, body: dict[str, Any]) -> ServerResponse:
+        self._ends = [row for row in self._ends if row[0] > body["ackCursor"]]
+        if not self._ends and body.get("waitMs"):
+            self._news.clear()
+            try:
+                async with asyncio.timeout(body["waitMs"] / 1000):
+                    await self._news.wait()
+            except TimeoutError:
+                pass
+        running = [[task, run, "", 50] for task, run in self._runs.items()]
+        lists = {
+            "clockMs": self._clock_ms,
+            "born": self._born,
+            "running": running,
+            "endedRuns": self._ends,
+        }
+        return ServerResponse.from_json(200, lists)
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -10,17 +10,17 @@
 import multiprocessing
 import os
 import sys
-import unittest
 from concurrent.futures import ProcessPoolExecutor
-from dataclasses import dataclass
-from io import StringIO
 from pathlib import Path
 
+from .module_runs import run_group
+
 ROOT = Path(__file__).parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 
 PROCESS_MODULES = (
     "tests.test_golden",
+    "tests.test_hosted_processes",
     "tests.test_operators_page",
     "tests.test_process_faults",
     "tests.test_thin_path",
@@ -31,16 +31,6 @@
 """Processors that are left to the entry processes of the tests."""
 
 
-@dataclass(frozen=True)
-class ModuleResult:
-    """What the tests of one group of modules gave."""
-
-    run: int
-    skipped: int
-    broken: tuple[str, ...]
-    output: str
-
-
 def load_known_red() -> set[str]:
     """Return the ids of tests with a known fault: the first word of each entry."""
     if not KNOWN_RED.exists():
@@ -55,17 +45,6 @@
     return [".".join(path.relative_to(ROOT).with_suffix("").parts) for path in paths]
 
 
-def run_group(names: tuple[str, ...]) -> ModuleResult:
-    """Run some modules one after another."""
-    suite = unittest.TestLoader().loadTestsFromNames(list(names))
-    output = StringIO()
-    result = unittest.TextTestRunner(output, verbosity=1).run(suite)
-    failures = result.failures + result.errors
-    broken = sorted({test.id().partition(" (")[0] for test, _ in failures})
-    text = output.getvalue() if broken else ""
-    return ModuleResult(result.testsRun, len(result.skipped), tuple(broken), text)
-
-
 def make_groups(names: list[str]) -> list[tuple[str, ...]]:
     """Return the modules that run together; the longest group comes first."""
     together = tuple(name for name in PROCESS_MODULES if name in names)
--- /dev/null
+++ b/tests/test_hosted_processes.py
@@ -0,0 +1,124 @@
+"""Entry processes on the platform, as processes, against its stand-ins."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import unittest
+
+from testkit.hosted.deployment import Deployment
+
+STEPS = [
+    {"count": 3, "cpu": 500, "memMb": 100, "estRuntimeMs": 300},
+    {"count": 1, "cpu": 500, "memMb": 100, "estRuntimeMs": 300, "after": [0]},
+]
+
+
+class HostedProcessesTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.deployment = Deployment()
+        await self.deployment.start()
+        self.planner = self.deployment.find_planner()
+        others = [ip for ip in self.deployment.process_by_ip if ip != self.planner]
+        self.other = others[0]
+
+    async def asyncTearDown(self) -> None:
+        await self.deployment.close()
+
+    async def submit(self, ip: str, job: str) -> int:
+        body = {"spec": "text", "steps": STEPS}
+        return (await self.deployment.call(ip, "POST", job, body)).status
+
+    async def wait_for(self, ip: str, job: str, state: str) -> None:
+        async with asyncio.timeout(30):
+            while True:
+                response = await self.deployment.call(ip, "GET", job)
+                if response.status == 200 and json.loads(response.body) == {
+                    "state": state
+                }:
+                    return
+                await asyncio.sleep(0.1)
+
+    def count_starts(self, job: str) -> dict[str, int]:
+        starts: dict[str, int] = {}
+        for worker in self.deployment.workers:
+            for task, _ in worker.started:
+                if task.startswith(job):
+                    starts[task] = starts.get(task, 0) + 1
+        return starts
+
+    async def test_job_is_served_through_any_host(self) -> None:
+        job = "00000000000000a1"
+        self.assertEqual(await self.submit(self.other, job), 200)
+        self.assertEqual(await self.submit(self.planner, job), 200)
+        await self.wait_for(self.planner, job, "completed")
+        await self.wait_for(self.other, job, "completed")
+        starts = self.count_starts(job)
+        self.assertEqual(len(starts), 4)
+        self.assertEqual(set(starts.values()), {1})
+
+    async def test_bad_calls_are_refused_and_hurt_nothing(self) -> None:
+        call = self.deployment.call
+        self.assertEqual(
+            (await call(self.other, "GET", "00000000000000ff")).status, 410
+        )
+        self.assertEqual((await call(self.other, "POST", "short", {})).status, 400)
+        job = "00000000000000a2"
+        self.assertEqual((await call(self.other, "POST", job, {"spec": 1})).status, 400)
+        self.assertEqual(await self.submit(self.other, job), 200)
+        await self.wait_for(self.other, job, "completed")
+
+    async def test_killed_planner_is_replaced_and_nothing_runs_twice(self) -> None:
+        job = "00000000000000a3"
+        for worker in self.deployment.workers:
+            worker.run_s = 3.0
+        self.assertEqual(await self.submit(self.other, job), 200)
+        await asyncio.sleep(0.5)
+        self.deployment.kill(self.planner)
+        await self.wait_for(self.other, job, "completed")
+        self.assertEqual(set(self.count_starts(job).values()), {1})
+
+    async def test_planned_stop_hands_over(self) -> None:
+        process = self.deployment.process_by_ip[self.planner]
+        process.send_signal(signal.SIGTERM)
+        job = "00000000000000a4"
+        self.assertEqual(await self.submit(self.other, job), 200)
+        await self.wait_for(self.other, job, "completed")
+        await asyncio.to_thread(process.wait, 10)
+        self.assertEqual(process.returncode, 0)
+        events = [line["event"] for line in self.deployment.read_log(self.planner)]
+        self.assertEqual(events[-1], "stop")
+
+    async def test_lost_answers_of_the_store_accept_a_job_once(self) -> None:
+        self.deployment.store.lose_answers = 2
+        job = "00000000000000a5"
+        self.assertEqual(await self.submit(self.planner, job), 200)
+        await self.wait_for(self.planner, job, "completed")
+        self.assertEqual(set(self.count_starts(job).values()), {1})
+
+    async def test_store_that_is_down_refuses_with_a_time_to_come_back(self) -> None:
+        self.deployment.store.is_down = True
+        first = asyncio.create_task(self.submit(self.planner, "00000000000000a6"))
+        await asyncio.sleep(1.6)
+        status = await self.submit(self.planner, "00000000000000a7")
+        self.assertEqual(status, 503)
+        self.deployment.store.is_down = False
+        self.assertIn(await first, (200, 503, 504))
+        job = "00000000000000a8"
+        async with asyncio.timeout(20):
+            while await self.submit(self.planner, job) != 200:
+                await asyncio.sleep(0.2)
+        await self.wait_for(self.planner, job, "completed")
+        self.assertEqual(self.count_starts("00000000000000a7"), {})
+
+    async def test_history_that_is_forgotten_loses_no_configuration(self) -> None:
+        for topic in ("keyed.op", "keyed.servers", "planner"):
+            await self.deployment.store.forget(topic)
+        job = "00000000000000a9"
+        self.assertEqual(await self.submit(self.other, job), 200)
+        await self.wait_for(self.other, job, "completed")
+
+
+if __name__ == "__main__":
+    unittest.main()
