Give a run that shows no progress more time after each stop

Cause of the known red test_killed_planner_is_replaced_and_nothing_runs_twice: the stand-in worker always listed 50 percent, and the planner stops a run whose percent stands for two seconds. The runs of that test take three, so it ended before or after the stop by the phase of the holds. With runs of 3.2 s the failure came each time (ten runs in 30 s, each ended by run_still), which also showed the fault in the product: a task that reports no progress by its nature was stopped for ever.

Ruled out: the election and the load (the successor was ready within 2 s in the trace), a lost end. The time that a run may stand still now doubles with each stop, only the first stop puts the worker in quarantine, and the stand-in lists real progress.

A placement was also listed twice in its batch; the second was never used.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/ends.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/ends.py
@@ -82,7 +82,8 @@
         if spec.gang and any(not t.confirmed_at for t in task.step.tasks if t.worker):
             return
         since = max(task.progress_at, task.confirmed_at)
-        patience_s = max(STILL_S, STILL_SHARE * spec.estimate_s)
+        # A task that stood still before may just not report its progress.
+        patience_s = max(STILL_S, STILL_SHARE * spec.estimate_s) * 2**task.stills
         if now - since < patience_s or task.percent >= 100:
             return
         self._books.note(
@@ -93,7 +94,9 @@
             percent=task.percent,
             still_s=round(now - since, 2),
         )
-        worker.quarantined_until = now + QUARANTINE_S
+        if not task.stills:
+            worker.quarantined_until = now + QUARANTINE_S
+        task.stills += 1
         self._books.stop(task)
 
     def _complete(self, task: Task, now: float) -> None:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
@@ -49,6 +49,7 @@
     :param life: incarnation of that worker
     :param confirmed_at: time at which its worker confirmed the start
     :param barred_at: time from which a start that is not listed can't come any more
+    :param stills: runs that were stopped since they showed no progress
     :param is_unsure: whether an order for this run went without an answer
     """
 
@@ -59,6 +60,7 @@
     worker: str = ""
     life: int = 0
     failures: int = 0
+    stills: int = 0
     checkpoint: str = ""
     percent: int = 0
     progress_at: float = 0.0
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/placing.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/placing.py
@@ -191,7 +191,6 @@
         task.state = TaskState.PLACED
         books.change(task.step.occurrence)
         books.ledger.pending.starts.append((task, run))
-        books.ledger.pending.starts.append((task, run))
 
     # After the record is stored
 
--- a/testkit/hosted/worker.py
+++ b/testkit/hosted/worker.py
@@ -26,6 +26,7 @@
         self._born = int(time.time() * 1000)
         self._token = 0
         self._runs: dict[str, int] = {}
+        self._began_at: dict[str, float] = {}
         self._highest: dict[str, int] = {}
         self._ends: list[list[Any]] = []
         self._count = 0
@@ -82,6 +83,7 @@
             if task in self._runs or run <= self._highest.get(task, 0):
                 return self._refuse("old")
             self._runs[task] = self._highest[task] = run
+            self._began_at[task] = time.monotonic()
             self.started.append((task, run))
             loop = asyncio.get_running_loop()
             loop.call_later(self.run_s, self._end, task, run, "done")
@@ -102,6 +104,10 @@
         self._ends.append([self._count, task, run, how, ""])
         self._news.set()
 
+    def _measure(self, task: str) -> int:
+        worked_s = time.monotonic() - self._began_at[task]
+        return min(99, int(100 * worked_s / self.run_s))
+
     async def _on_hold(self, body: dict[str, Any]) -> ServerResponse:
         self._ends = [row for row in self._ends if row[0] > body["ackCursor"]]
         if not self._ends and body.get("waitMs"):
@@ -111,7 +117,9 @@
                     await self._news.wait()
             except TimeoutError:
                 pass
-        running = [[task, run, "", 50] for task, run in self._runs.items()]
+        running = [
+            [task, run, "", self._measure(task)] for task, run in self._runs.items()
+        ]
         lists = {
             "clockMs": self._clock_ms,
             "born": self._born,
--- /dev/null
+++ b/tests/planner/test_progress.py
@@ -0,0 +1,77 @@
+"""Runs that report no progress, by a worker's fault or by their nature."""
+
+from __future__ import annotations
+
+import unittest
+
+from jacinthloom_core.planner import effects, events
+from jacinthloom_core.planner.planner import Planner
+
+from .test_takeover import JOB, Store, answer_hold, make_planner
+
+LIST_S = 0.5
+"""Seconds between two lists of a worker."""
+
+
+class ProgressTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.store = Store()
+        self.planner = make_planner(1, self.store, 0.0)
+        self.now = 0.1
+        self.ends: list[events.EndRow] = []
+        self.runs: list[tuple[float, int]] = []
+        self.running: events.RunningRow | None = None
+        answer_hold(self.planner, self.now)
+
+    def carry_out(self, found: list[effects.Effect]) -> None:
+        for number in self.store.take(found):
+            self.carry_out(self.planner.handle(events.BatchStored(self.now, number)))
+        for effect in found:
+            if isinstance(effect, effects.Start):
+                self.runs.append((self.now, effect.run))
+                self.running = events.RunningRow(effect.task, effect.run, "", 50)
+                answer = events.StartAnswered(
+                    self.now, "w1", effect.task, effect.run, events.StartOutcome.STARTED
+                )
+                self.carry_out(self.planner.handle(answer))
+            elif isinstance(effect, effects.Stop) and self.running is not None:
+                number = len(self.ends) + 1
+                stopped = events.EndKind.STOPPED
+                row = events.EndRow(number, effect.task, effect.run, stopped, "")
+                self.ends.append(row)
+                self.running = None
+
+    def list_runs(self) -> None:
+        planner: Planner = self.planner
+        worker = planner.books.worker_by_id["w1"]
+        running = (self.running,) if self.running else ()
+        listing = events.HoldAnswered(
+            self.now,
+            "w1",
+            self.now - 0.01,
+            worker.token,
+            5,
+            100,
+            running,
+            tuple(self.ends),
+        )
+        self.carry_out(planner.handle(listing))
+
+    def test_run_that_never_shows_progress_gets_ever_more_time(self) -> None:
+        self.carry_out(self.planner.handle(events.JobSubmitted(self.now, 1, JOB)))
+        while self.now < 60.0:
+            self.now += LIST_S
+            self.carry_out(self.planner.handle(events.Tick(self.now, 0)))
+            self.carry_out(self.planner.handle(events.FlushDue(self.now)))
+            self.list_runs()
+        lengths = [
+            after - before
+            for (before, _), (after, _) in zip(self.runs, self.runs[1:], strict=False)
+        ]
+        # Pauses of quarantine aside, each run is left at least twice as long.
+        self.assertLessEqual(len(self.runs), 6)
+        self.assertGreaterEqual(lengths[-1], 4 * 2.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
