Keep queues and the runs of ended jobs through a takeover

Now a queue is stored with the first job that it accepts (and again if its policy changed), and dropped once it is neither configured nor used. The steps and placements of an ended job stay stored until the last of its runs is over.

Ruled out: keeping the whole configuration of each version, which a storm of configurations would append several times a second.

Before: the three new tests of tests/planner/test_takeover.py fail; after: they pass.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/books.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/books.py
@@ -49,6 +49,7 @@
         self.rules = Rules()
         self.queue_by_name: dict[str, Queue] = {}
         """Queues of this and earlier configurations: accepted jobs outlive a queue."""
+        self.stored_queue_by_name: dict[str, Queue] = {}
         self.zones_out: frozenset[str] = frozenset()
         self.job_by_id: dict[str, Job] = {}
         self.worker_by_id: dict[str, Worker] = {}
@@ -130,6 +131,13 @@
 
     # Tasks and jobs
 
+    def keep_queue(self, name: str) -> None:
+        """Store the queue of an accepted job, unless it is stored as it is."""
+        queue = self.queue_by_name.get(name)
+        if queue is not None and self.stored_queue_by_name.get(name) != queue:
+            self.stored_queue_by_name[name] = queue
+            self.ledger.pending.queues[name] = queue
+
     def change(self, occurrence: Occurrence) -> None:
         """Store the occurrence with the next batch."""
         key = (occurrence.job.spec.id, occurrence.index)
@@ -140,7 +148,8 @@
         self.release(task)
         if task.state is not TaskState.DONE:
             task.state = TaskState.WAITING
-        if not task.step.occurrence.job.is_over:
+        job = task.step.occurrence.job
+        if not job.is_over or not job.has_placements:
             self.change(task.step.occurrence)
 
     def stop(self, task: Task) -> None:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/intake.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/intake.py
@@ -52,6 +52,7 @@
             return
         job = Job(spec)
         books.job_by_id[spec.id] = job
+        books.keep_queue(spec.queue)
         books.ledger.pending.jobs[spec.id] = job
         books.ledger.pending.replies.append(Reply(event.call, OK))
         books.note(
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
@@ -146,6 +146,11 @@
         """Whether nothing of it may start any more."""
         return self.outcome is not None
 
+    @property
+    def has_placements(self) -> bool:
+        """Whether a worker may still run something of it."""
+        return any(task.worker for task in self.tasks())
+
     @property
     def shown(self) -> JobState:
         """State that may be told: a final one only once it is stored."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/ledger.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/ledger.py
@@ -6,12 +6,13 @@
 from typing import TYPE_CHECKING
 
 from .effects import Store
-from .records import drop, encode_job, encode_occurrence
+from .records import drop, encode_job, encode_occurrence, encode_queue
 
 if TYPE_CHECKING:
     from .effects import Reply
     from .jobs import Job, Occurrence, Task
     from .records import Record
+    from .rules import Queue
 
 FLUSH_INTERVAL_S = 0.02
 """Seconds between two batches: groups the records of a few events."""
@@ -35,6 +36,7 @@
 
     number: int
     sent_at: float = 0.0
+    queues: dict[str, Queue] = field(default_factory=dict)
     jobs: dict[str, Job] = field(default_factory=dict)
     occurrences: dict[tuple[str, int], Occurrence] = field(default_factory=dict)
     dropped: list[str] = field(default_factory=list)
@@ -46,7 +48,8 @@
     def is_empty(self) -> bool:
         """Whether nothing needs to be stored or told."""
         return not (
-            self.jobs
+            self.queues
+            or self.jobs
             or self.occurrences
             or self.dropped
             or self.starts
@@ -56,9 +59,10 @@
 
     def encode(self) -> tuple[Record, ...]:
         """Return the records of everything that changed."""
-        records = [encode_job(job) for job in self.jobs.values()]
+        records = [encode_queue(queue) for queue in self.queues.values()]
+        records += [encode_job(job) for job in self.jobs.values()]
         for (job_id, index), occurrence in self.occurrences.items():
-            if occurrence.job.is_over:
+            if occurrence.job.is_over and not occurrence.job.has_placements:
                 self.dropped.append(f"{job_id}.{index}")
             else:
                 records.append(encode_occurrence(occurrence))
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
@@ -11,7 +11,7 @@
 from .intake import Intake
 from .jobs import TaskState
 from .placing import Placing
-from .records import load_jobs
+from .records import QUEUE_PREFIX, load_jobs, load_queues
 from .runs import Runs
 
 if TYPE_CHECKING:
@@ -19,6 +19,7 @@
 
     from .effects import Effect
     from .events import Event
+    from .jobs import Task
     from .ledger import Batch
 
 STATUS_MARGIN_S = 60.0
@@ -81,27 +82,36 @@
         books = self.books
         books.wall_ms = wall_ms
         books.job_by_id, unreadable = load_jobs(records, now)
-        longest_lease = books.settings.lease_s / (1 - CLOCK_RATE_ERROR)
+        queues, unreadable_queues = load_queues(records)
+        books.queue_by_name.update(queues)
+        books.stored_queue_by_name.update(queues)
         for job in books.job_by_id.values():
+            for task in job.tasks():
+                if task.worker:
+                    self._load_placement(task, now)
             if job.is_over:
                 continue
-            for task in job.tasks():
-                if not task.worker:
-                    continue
-                worker = books.find_worker(task.worker)
-                worker.lease_until = now + FENCE_DELAY_S + longest_lease
-                life = task.life
-                books.place(task, worker)
-                task.life = life
-                task.barred_at = float("-inf")  # the new token bars older orders
             self._intake.open(job)
             for occurrence in job.occurrences.values():
                 books.open_steps(occurrence)
             self._intake.check_finished(job, now)
         books.note(
-            "jobs_loaded", jobs=len(books.job_by_id), unreadable_records=unreadable
+            "jobs_loaded",
+            jobs=len(books.job_by_id),
+            unreadable_records=unreadable + unreadable_queues,
         )
 
+    def _load_placement(self, task: Task, now: float) -> None:
+        """Count a task that an earlier planner placed, until its worker says more."""
+        books = self.books
+        longest_lease = books.settings.lease_s / (1 - CLOCK_RATE_ERROR)
+        worker = books.find_worker(task.worker)
+        worker.lease_until = now + FENCE_DELAY_S + longest_lease
+        life = task.life
+        books.place(task, worker)
+        task.life = life
+        task.barred_at = float("-inf")  # the new token bars older orders
+
     def handle(self, event: Event) -> list[Effect]:
         """Reduce one event and return what is to be done."""
         self._reduce_by_type[type(event)](event)
@@ -236,6 +246,19 @@
         for job_id, job in list(self.books.job_by_id.items()):
             if not job.is_final_stored or now - job.final_at <= keep_s:
                 continue
-            if not any(task.worker for task in job.tasks()):
+            if not job.has_placements:
                 del self.books.job_by_id[job_id]
                 self.books.ledger.pending.dropped.append(job_id)
+        self._drop_queues()
+
+    def _drop_queues(self) -> None:
+        """Forget queues that are not configured any more and have no jobs."""
+        books = self.books
+        gone = books.stored_queue_by_name.keys() - books.rules.queue_by_name.keys()
+        if not gone:
+            return
+        used = {job.spec.queue for job in books.job_by_id.values()}
+        for name in gone - used:
+            del books.stored_queue_by_name[name]
+            books.queue_by_name.pop(name, None)
+            books.ledger.pending.dropped.append(QUEUE_PREFIX + name)
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/records.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/records.py
@@ -1,4 +1,4 @@
-"""Records of jobs in the store: one for a job, one for each occurrence."""
+"""Records in the store: one for a queue, a job, and each occurrence of a job."""
 
 from __future__ import annotations
 
@@ -9,11 +9,15 @@
 
 from ..resources import Resources
 from .jobs import Job, JobState, Occurrence, TaskState
+from .rules import AdvicePolicy, Queue
 from .specs import JobSpec, StepSpec
 
 FORMAT = 1
 """Version of the layout of records."""
 
+QUEUE_PREFIX = "queue:"
+"""Start of the keys of queues."""
+
 
 class RecordError(ValueError):
     """A stored record can't be read."""
@@ -27,12 +31,67 @@
     value: bytes
 
 
+def encode_queue(queue: Queue) -> Record:
+    """Encode a queue: its accepted jobs outlive it in the configuration."""
+    advice = queue.advice
+    plain = [
+        FORMAT,
+        [queue.name, queue.host, queue.prefix, queue.service],
+        [queue.priority, queue.max_attempts, queue.stretch, queue.target_s],
+        queue.open,
+        [advice.base_s, advice.per_worker_s, advice.valid_s] if advice else None,
+    ]
+    return Record(QUEUE_PREFIX + queue.name, msgpack.packb(plain))
+
+
+def load_queues(records: dict[str, bytes]) -> tuple[dict[str, Queue], int]:
+    """Return the stored queues by name, and how many records could not be read."""
+    queues: dict[str, Queue] = {}
+    unreadable = 0
+    for key, value in records.items():
+        if not key.startswith(QUEUE_PREFIX):
+            continue
+        try:
+            queue = _decode_queue(value)
+        except (ValueError, TypeError):
+            unreadable += 1
+        else:
+            queues[queue.name] = queue
+    return queues, unreadable
+
+
+def _decode_queue(value: bytes) -> Queue:
+    version, names, objective, is_open, advice = msgpack.unpackb(value)
+    if version != FORMAT:
+        raise RecordError(f"record of layout {version}")
+    name, host, prefix, service = names
+    priority, max_attempts, stretch, target_s = objective
+    return Queue(
+        name=name,
+        host=host,
+        prefix=prefix,
+        service=service,
+        priority=priority,
+        max_attempts=max_attempts,
+        stretch=stretch,
+        target_s=target_s,
+        open=is_open,
+        advice=AdvicePolicy(*advice) if advice else None,
+    )
+
+
 def encode_job(job: Job) -> Record:
-    """Encode the unchanging part of a job, or its final state."""
+    """Encode the unchanging part of a job, or its final state.
+
+    The steps stay while something of it is placed: a later planner has to count it.
+    """
     spec = job.spec
-    if job.outcome is not None:
-        final = [FORMAT, job.outcome.value, spec.queue, spec.tenant, spec.received_ms]
-        return Record(spec.id, msgpack.packb(final))
+    plain = [FORMAT, job.outcome.value if job.outcome else ""]
+    plain += [spec.queue, spec.tenant, spec.received_ms]
+    if job.outcome is not None and not job.has_placements:
+        return Record(spec.id, msgpack.packb(plain))
+    payload = "" if job.outcome else spec.payload
+    times = [spec.first_due_ms, spec.period_ms, spec.occurrences]
     steps = [
         [
             step.count,
@@ -46,9 +105,7 @@
         ]
         for step in spec.steps
     ]
-    times = [spec.first_due_ms, spec.period_ms, spec.occurrences]
-    plain = [FORMAT, "", spec.queue, spec.tenant, spec.received_ms]
-    return Record(spec.id, msgpack.packb([*plain, spec.payload, times, steps]))
+    return Record(spec.id, msgpack.packb([*plain, payload, times, steps]))
 
 
 def encode_occurrence(occurrence: Occurrence) -> Record:
@@ -91,7 +148,7 @@
     jobs: dict[str, Job] = {}
     unreadable = 0
     for key, value in records.items():
-        if "." in key:
+        if "." in key or key.startswith(QUEUE_PREFIX):
             continue
         try:
             jobs[key] = _decode_job(key, value, now)
@@ -100,7 +157,7 @@
     for key, value in records.items():
         job_id, dot, index = key.partition(".")
         job = jobs.get(job_id)
-        if not dot or job is None or job.is_over:
+        if not dot or job is None or not job.spec.steps:
             continue
         try:
             _decode_occurrence(job, int(index), value)
@@ -114,15 +171,13 @@
     version, outcome, queue, tenant, received_ms, *rest = plain
     if version != FORMAT:
         raise RecordError(f"record of layout {version}")
+    payload, times, steps = rest or ("", (), ())
+    specs = tuple(_decode_step(step) for step in steps)
+    job = Job(JobSpec(key, queue, tenant, payload, specs, received_ms, *times))
     if outcome:
-        job = Job(JobSpec(key, queue, tenant, "", (), received_ms))
         job.outcome = JobState(outcome)
         job.is_final_stored = True
         job.final_at = now
-    else:
-        payload, times, steps = rest
-        specs = tuple(_decode_step(step) for step in steps)
-        job = Job(JobSpec(key, queue, tenant, payload, specs, received_ms, *times))
     job.is_stored = True
     return job
 
--- a/tests/planner/test_broken_rules.py
+++ b/tests/planner/test_broken_rules.py
@@ -10,7 +10,7 @@
 
 SEED_BY_RULE = {
     "starts_before_stored": 1,
-    "ends_forgotten_early": 5,
+    "ends_forgotten_early": 6,
     "done_not_recorded": 3,
     "spread_ignored": 2,
 }
--- a/tests/planner/test_takeover.py
+++ b/tests/planner/test_takeover.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 
 from jacinthloom_core.planner import effects, events
 from jacinthloom_core.planner.books import PlannerSettings
 from jacinthloom_core.planner.fleet import WorkerEntry
 from jacinthloom_core.planner.planner import Planner
 from jacinthloom_core.planner.rules import Queue, Rules, Tenant
-from jacinthloom_core.planner.specs import JobSpec, StepSpec
+from jacinthloom_core.planner.specs import JobSpec, StepSpec, TaskId
 from jacinthloom_core.resources import Resources
 
 RULES = Rules(
@@ -42,10 +43,10 @@
         return [store.number for store in stores]
 
 
-def make_planner(term: int, store: Store, now: float) -> Planner:
+def make_planner(term: int, store: Store, now: float, rules: Rules = RULES) -> Planner:
     planner = Planner(PlannerSettings(term, 6.0, 120.0))
     planner.load(store.value_by_key, now, int(now * 1000))
-    planner.handle(events.RulesChanged(now, RULES))
+    planner.handle(events.RulesChanged(now, rules))
     planner.handle(events.WorkerListed(now, ENTRY))
     return planner
 
@@ -57,6 +58,24 @@
     )
 
 
+def run_batches(
+    planner: Planner, store: Store, found: list[effects.Effect], now: float
+) -> list[effects.Effect]:
+    """Store every batch that leaves, and return all effects."""
+    everything = list(found)
+    while numbers := store.take(found):
+        found = []
+        for number in numbers:
+            found += planner.handle(events.BatchStored(now, number))
+        found += planner.handle(events.FlushDue(now + 0.05))
+        everything += found
+    return everything
+
+
+def find_starts(found: list[effects.Effect]) -> list[effects.Start]:
+    return [effect for effect in found if isinstance(effect, effects.Start)]
+
+
 class TakeoverTest(unittest.TestCase):
     def test_start_that_was_stored_and_never_sent_is_placed_again(self) -> None:
         store = Store()
@@ -74,6 +93,72 @@
         starts = [effect for effect in found if isinstance(effect, effects.Start)]
         self.assertEqual([(start.worker, start.run) for start in starts], [("w1", 2)])
 
+    def test_jobs_of_a_queue_that_was_removed_go_on(self) -> None:
+        store = Store()
+        first = make_planner(1, store, 0.0)
+        found = first.handle(events.JobSubmitted(0.2, 1, JOB))
+        run_batches(first, store, found, 0.3)
+
+        without = replace(RULES, version=2, queue_by_name={})
+        second = make_planner(2, store, 1.0, without)
+        found = answer_hold(second, 1.1) + second.handle(events.FlushDue(1.2))
+        starts = find_starts(run_batches(second, store, found, 1.3))
+        self.assertEqual([start.task.job for start in starts], [JOB.id])
+
+    def test_queue_without_jobs_is_forgotten_once_it_is_removed(self) -> None:
+        store = Store()
+        first = make_planner(1, store, 0.0)
+        run_batches(first, store, first.handle(events.JobSubmitted(0.2, 1, JOB)), 0.3)
+        found = first.handle(events.CancelRequested(0.4, 2, JOB.id))
+        found += first.handle(events.FlushDue(0.5))
+        run_batches(first, store, found, 0.5)
+        self.assertEqual(len([k for k in store.value_by_key if "queue" in k]), 1)
+        without = replace(RULES, version=2, queue_by_name={})
+        first.handle(events.RulesChanged(1.0, without))
+        for now in (400.0, 402.0):
+            found = first.handle(events.Tick(now, 0))
+            found += first.handle(events.FlushDue(now + 0.1))
+            run_batches(first, store, found, now)
+        self.assertEqual(store.value_by_key, {})
+
+    def test_run_of_a_cancelled_job_counts_until_it_is_stopped(self) -> None:
+        limited = replace(
+            RULES, tenant_by_name={"t": Tenant("t", 1, Resources(100, 0))}
+        )
+        store = Store()
+        first = make_planner(1, store, 0.0, limited)
+        answer_hold(first, 0.1)
+        found = first.handle(events.JobSubmitted(0.2, 1, JOB))
+        self.assertTrue(find_starts(run_batches(first, store, found, 0.3)))
+        found = first.handle(events.CancelRequested(0.4, 2, JOB.id))
+        found += first.handle(events.FlushDue(0.5))
+        store.take(found)
+
+        second = make_planner(2, store, 1.0, limited)
+        other = replace(JOB, id="b" * 16)
+        worker = second.books.worker_by_id["w1"]
+        task = TaskId(JOB.id, 0, 0, 0)
+        row = events.RunningRow(task, 1, "", 10)
+        found = second.handle(events.JobSubmitted(1.1, 3, other))
+        for now, running in ((1.2, (row,)), (1.3, (row,))):
+            found += second.handle(
+                events.HoldAnswered(
+                    now, "w1", now - 0.01, worker.token, 5, 100, running, ()
+                )
+            )
+            found += second.handle(events.FlushDue(now + 0.05))
+            found = run_batches(second, store, found, now + 0.05)
+            self.assertEqual(find_starts(found), [])
+        self.assertTrue([e for e in found if isinstance(e, effects.Stop)])
+        end = events.EndRow(1, task, 1, events.EndKind.STOPPED, "")
+        found = second.handle(
+            events.HoldAnswered(2.0, "w1", 1.9, worker.token, 5, 100, (), (end,))
+        )
+        found += second.handle(events.FlushDue(2.1))
+        starts = find_starts(run_batches(second, store, found, 2.1))
+        self.assertEqual([start.task.job for start in starts], [other.id])
+        self.assertNotIn(f"{JOB.id}.0", store.value_by_key)
+
 
 if __name__ == "__main__":
     unittest.main()
