Set room aside for gangs; ask about fewer, better chosen workers; cheaper passes

Four faults: while a gang waited for tickets, smaller tasks took the room that it had found; only one gang at a time had workers drained, and none once it was late; steps asked about the first hundred workers of the list, all the same ones; and lateness was judged by declared run times that are off by up to ten times, which took good jobs for hopeless ones. A pass cost 18 ms with 109 waiting steps, near all of a small host's processor.

Now a pass sets aside the room that a gang has found, and drains workers for three gangs, in the order of ranks; asks about as many workers as have the expected room, those known to be good first, in an order that differs by step; predicts run times from declared and earlier ones, weighted by how far off each has been; takes workers from a heap, looks at no step that waits for advice, and leaves time between passes by what they cost. Holds are looked at for the worker of an event, not for all.

Ruled out: the election (the planner of that trace ran on a large host), the store (its appends took 10 ms).

--- /dev/null
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/asking.py
@@ -0,0 +1,68 @@
+"""Which workers to ask the advice service about."""
+
+from __future__ import annotations
+
+import zlib
+from typing import TYPE_CHECKING
+
+from .advice import MAX_ASKED
+
+if TYPE_CHECKING:
+    from .advice import StepAdvice
+    from .fleet import Worker
+    from .jobs import StepRun
+
+FEWEST_ASKED = 24
+"""Workers without an answer yet that are asked about at least: an answer takes little
+longer for them than for one."""
+
+ASSUMED_GOOD_SHARE = 0.3
+"""Share of workers that may run a step, while nothing is known: the lowest of the
+users' sheets."""
+
+ROOM_MARGIN = 1.5
+"""Expected room as a multiple of what is needed: other steps take some of it while the
+service decides."""
+
+ANSWER_S = 1.0
+"""Seconds for which a ticket must still be valid not to be asked for again: what the
+slowest answers take."""
+
+
+def choose_asked(
+    step: StepRun, workers: list[Worker], needed: int, advice: StepAdvice, now: float
+) -> tuple[str, ...]:
+    """Return the workers to ask about, so that enough of them likely have room.
+
+    Workers known to be good come first. Among equals the order differs by step,
+    so that steps which wait at the same time don't ask about the same workers.
+
+    :param workers: workers that may run the step
+    :param needed: tasks to be placed
+    """
+    spec = step.spec
+    known: list[tuple[int, int, Worker]] = []
+    unknown: list[tuple[int, int, Worker]] = []
+    seed = zlib.crc32(step.id.job.encode())
+    expected = 0.0
+    for worker in workers:
+        room = min(needed, worker.count_room(spec.size, spec.fills))
+        if advice.find_ticket(worker, now + ANSWER_S):
+            expected += room
+            continue
+        row = (-room, zlib.crc32(worker.id.encode(), seed), worker)
+        (known if worker.id in advice.is_good_by_worker else unknown).append(row)
+    target = needed * ROOM_MARGIN
+    names: list[str] = []
+    for room, _, worker in sorted(known, key=lambda row: row[:2]):
+        if expected >= target or len(names) >= MAX_ASKED:
+            break
+        names.append(worker.id)
+        expected -= room
+    fewest = len(names) + FEWEST_ASKED if expected < target else 0
+    for room, _, worker in sorted(unknown, key=lambda row: row[:2]):
+        if len(names) >= MAX_ASKED or (expected >= target and len(names) >= fewest):
+            break
+        names.append(worker.id)
+        expected -= room * ASSUMED_GOOD_SHARE
+    return tuple(names)
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/books.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/books.py
@@ -12,6 +12,7 @@
 from .jobs import FINAL_STATES, JobState, TaskState, find_ready_steps
 from .ledger import Ledger
 from .rules import Rules
+from .run_times import RunTimes
 from .speed import SpeedBook
 
 if TYPE_CHECKING:
@@ -53,12 +54,15 @@
         self.zones_out: frozenset[str] = frozenset()
         self.job_by_id: dict[str, Job] = {}
         self.worker_by_id: dict[str, Worker] = {}
+        self.touched: dict[str, Worker] = {}
+        """Workers whose next hold may have become due with this event."""
         self.ready_by_id: dict[StepId, StepRun] = {}
         self.timed_by_id: dict[str, Job] = {}
         self.usage_by_tenant: dict[str, list[int]] = {}
         self.unsure: dict[tuple[str, int, int, int], Task] = {}
         self.desk = AdviceDesk()
         self.speeds = SpeedBook()
+        self.run_times = RunTimes()
         self.ledger = Ledger()
         self.effects: list[Effect] = []
         self.counters: Counter[str] = Counter()
@@ -79,6 +83,12 @@
             self.worker_by_id[worker_id] = worker
         return worker
 
+    def touch(self, worker_id: str) -> Worker:
+        """Return a known worker, and look at its next hold after this event."""
+        worker = self.worker_by_id[worker_id]
+        self.touched[worker_id] = worker
+        return worker
+
     # Room and limits
 
     def place(self, task: Task, worker: Worker) -> None:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/ends.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/ends.py
@@ -52,7 +52,7 @@
             task.checkpoint = row.checkpoint
         if row.how is EndKind.DONE:
             worker.fail_streak = 0
-            self._learn_speed(task, worker, now)
+            self._learn_times(task, worker, now)
             self._books.release(task)
             self._complete(task, now)
         elif row.how is EndKind.FAILED:
@@ -65,14 +65,19 @@
         if job.is_over:
             self._books.close_step(task.step)
 
-    def _learn_speed(self, task: Task, worker: Worker, now: float) -> None:
+    def _learn_times(self, task: Task, worker: Worker, now: float) -> None:
+        """Learn from a run that worked from its beginning to its end."""
         spec = task.step.spec
-        if spec.gang or spec.lasting or not task.confirmed_at or task.checkpoint:
+        if spec.lasting or not task.confirmed_at or task.checkpoint:
             return
+        if spec.gang and task.step.is_done:
+            return  # another member has told already
         queue = task.step.occurrence.job.spec.queue
         took_s = now - task.confirmed_at
-        speeds = self._books.speeds
-        speeds.record(worker.id, queue, spec.estimate_s, took_s, now)
+        self._books.run_times.record(queue, spec.estimate_s, took_s)
+        if not spec.gang:
+            speeds = self._books.speeds
+            speeds.record(worker.id, queue, spec.estimate_s, took_s, now)
 
     def check_progress(self, task: Task, worker: Worker, now: float) -> None:
         """Stop a run that stands still, and leave its worker alone for a while."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/fleet.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/fleet.py
@@ -17,6 +17,9 @@
 LEASE_MARGIN_S = 0.1
 """Seconds added before a lease counts as lapsed: timers of workers fire late."""
 
+MOST_TASKS = 1_000
+"""Tasks without a size that a worker takes."""
+
 CONTACT_TIMEOUT_S = 2.5
 """Seconds without an answer after which a worker gets no starts: two long waits."""
 
@@ -54,6 +57,7 @@
     :param sent_cursor: the cursor that the hold in flight carries; 0 for none
     :param hold_due: time at which the next hold may be sent
     :param clock_ms: the worker's clock, at the steady time ``clock_at``
+    :param is_suspect: whether a start got no answer since it last listed its runs
     :param foreign: runs that it lists and that were not placed there
     """
 
@@ -74,6 +78,7 @@
     hold_due: float = 0.0
     answered_at: float = float("-inf")
     failed_holds: int = 0
+    is_suspect: bool = False
     task_by_id: dict[TaskId, Task] = field(default_factory=dict)
     foreign: dict[tuple[TaskId, int], Resources] = field(default_factory=dict)
     free_processors: int = 0
@@ -115,12 +120,22 @@
 
     def count_room(self, size: Resources, fills: bool = False) -> int:
         """Return how many tasks of a size fit now."""
-        counts = [self.free_memory // size.memory] if size.memory else []
+        room = MOST_TASKS
+        if size.memory:
+            room = min(room, self.free_memory // size.memory)
         if size.processors and not fills:
-            counts.append(self.free_processors // size.processors)
+            room = min(room, self.free_processors // size.processors)
         if size.accelerators:
-            counts.append(self.free_accelerators // size.accelerators)
-        return max(0, min(counts, default=1_000))
+            room = min(room, self.free_accelerators // size.accelerators)
+        return max(0, room)
+
+    def count_room_when_empty(self, size: Resources, fills: bool = False) -> int:
+        """Return how many tasks of a size would fit if nothing ran."""
+        if self.entry is None:
+            return 0
+        empty = Worker(self.id, self.token)
+        empty.accept(self.entry)
+        return empty.count_room(size, fills)
 
     def is_usable(self, now: float) -> bool:
         """Whether it is confirmed, reachable, ready and not in quarantine."""
@@ -132,6 +147,8 @@
             and self.fenced_life == self.life
             and now - self.answered_at < CONTACT_TIMEOUT_S
             and now >= self.quarantined_until
+            and not self.failed_holds
+            and not self.is_suspect
         )
 
     def compute_deadline_ms(self, now: float, lease_s: float) -> int:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
@@ -86,6 +86,9 @@
     :param run: latest run of a gang; all its members share it
     :param failures: failed runs of a gang
     :param failed_run: latest run of a gang that has failed
+    :param due_s: Unix time from which its objective counts, in seconds
+    :param objective_s: seconds of its objective; 0 until it is first ranked
+    :param latest_start_s: Unix time of the latest start that keeps the objective
     """
 
     id: StepId
@@ -96,6 +99,9 @@
     run: int = 0
     failures: int = 0
     failed_run: int = 0
+    due_s: float = 0.0
+    objective_s: float = 0.0
+    latest_start_s: float = 0.0
 
     @property
     def is_done(self) -> bool:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/placement.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 from collections import Counter
 from typing import TYPE_CHECKING
 
@@ -14,6 +15,9 @@
     from .jobs import StepRun, Task
 
 
+_Row = tuple[tuple[float, ...], int, int, "Worker"]
+"""Score, place in the list, room for tasks, worker."""
+
 SHORT_S = 2.0
 """Estimate below which a task goes to the fastest worker rather than the fullest: a
 tenth of its run time is much of what its caller allows for waiting."""
@@ -54,42 +58,47 @@
 
 
 class _FreeRoom:
-    """Room of workers while one step is placed."""
+    """Room of workers while one step is placed; the best worker comes first."""
 
     def __init__(self, step: StepRun, workers: Iterable[Worker]) -> None:
         self._step = step
-        self._workers = list(workers)
         spec = step.spec
-        self._room_by_worker = {
-            worker.id: worker.count_room(spec.size, spec.fills)
-            for worker in self._workers
-        }
+        present: Counter[str] = Counter()
         if spec.most_per_worker:
-            present = Counter(task.worker for task in step.tasks if task.worker)
-            for worker in self._workers:
-                most = max(0, spec.most_per_worker - present[worker.id])
-                room = self._room_by_worker[worker.id]
-                self._room_by_worker[worker.id] = min(room, most)
+            present.update(task.worker for task in step.tasks if task.worker)
+        rows: list[_Row] = []
+        for number, worker in enumerate(workers):
+            room = worker.count_room(spec.size, spec.fills)
+            if spec.most_per_worker:
+                room = min(room, spec.most_per_worker - present[worker.id])
+            if room > 0:
+                rows.append((self._score(worker, room), number, room, worker))
+        heapq.heapify(rows)
+        self._rows = rows
 
     def take(self, task: Task) -> Worker | None:
-        best: Worker | None = None
-        best_key: tuple[float, ...] | None = None
-        for worker in self._workers:
-            if self._room_by_worker[worker.id] < 1:
-                continue
-            key = self._score(task, worker)
-            if best_key is None or key < best_key:
-                best, best_key = worker, key
-        if best is not None:
-            self._room_by_worker[best.id] -= 1
-        return best
-
-    def _score(self, task: Task, worker: Worker) -> tuple[float, ...]:
+        """Take the best worker, rather one on which the task has not failed."""
+        passed: list[_Row] = []
+        while self._rows and self._rows[0][3].id in task.failed_on:
+            passed.append(heapq.heappop(self._rows))
+        if self._rows:
+            chosen = heapq.heappop(self._rows)
+        elif passed:
+            chosen = passed.pop(0)
+        else:
+            return None
+        for row in passed:
+            heapq.heappush(self._rows, row)
+        _, number, room, worker = chosen
+        if room > 1:
+            score = self._score(worker, room - 1)
+            heapq.heappush(self._rows, (score, number, room - 1, worker))
+        return worker
+
+    def _score(self, worker: Worker, room: int) -> tuple[float, ...]:
         spec = self._step.spec
-        has_failed = int(worker.id in task.failed_on)
         is_far = int(bool(spec.data_rack) and _rack(worker) != spec.data_rack)
-        room = self._room_by_worker[worker.id]
         spread = -room if spec.lasting else room
         is_slow = worker.slowness >= SLOW
         pace = round(worker.slowness, 1) if spec.estimate_s < SHORT_S else 0.0
-        return (has_failed, is_slow, is_far, worker.fail_streak, pace, spread)
+        return (is_slow, is_far, worker.fail_streak, pace, spread)
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/placing.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/placing.py
@@ -5,10 +5,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from .asking import choose_asked
 from .effects import Start
 from .jobs import TaskState
 from .order import LatestStartOrder
 from .placement import place_gang, place_tasks
+from .reservations import Reservations
 from .sharing import may_share
 
 if TYPE_CHECKING:
@@ -20,12 +22,9 @@
     from .rules import Queue
     from .specs import StepId
 
-URGENT_PRIORITY = 0
-"""Priority of queues whose steps may use room that is kept for a gang."""
-
-
-HOPELESS = 2
-"""Lateness from which a step earns nothing: no room is kept for it."""
+MAX_DRAINED_GANGS = 3
+"""Gangs for which workers are drained at the same time: each that waits for the last of
+its workers leaves room idle on the others."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,16 +42,20 @@
     rank: Rank
     now: float
 
-    def may_be_good(self, worker: Worker) -> bool:
-        """Whether a worker is not known to be refused."""
-        return self.advice is None or self.advice.may_be_good(worker)
-
     def select_ticketed(self, workers: list[Worker]) -> list[Worker]:
         """Return the workers on which the step may start now."""
         advice = self.advice
         if advice is None:
             return workers
-        return [w for w in workers if advice.find_ticket(w, self.now)]
+        found = advice.ticket_by_worker
+        return [w for w in workers if w.id in found and advice.find_ticket(w, self.now)]
+
+    def select_possible(self, workers: list[Worker]) -> list[Worker]:
+        """Return the workers that are not known to be refused."""
+        advice = self.advice
+        if advice is None:
+            return workers
+        return [worker for worker in workers if advice.may_be_good(worker)]
 
 
 class Placing:
@@ -60,24 +63,32 @@
 
     def __init__(self, books: Books, order: OrderPolicy | None = None) -> None:
         self._books = books
-        self._order = order or LatestStartOrder()
-        self._kept: set[str] = set()
+        self._order = order or LatestStartOrder(books.run_times)
+        self._reservations = Reservations()
+        self._drained = 0
         self.reason_by_step: dict[StepId, str] = {}
         """Why each step that waits was not placed in the last pass."""
+        self.served = 0
+        """Steps that were looked at in the last pass."""
 
     def run(self, now: float) -> None:
         """Place what can be placed, and ask for the advice that is missing."""
-        books = self._books
-        self._kept = set()
         self.reason_by_step = {}
-        usable = [w for w in books.worker_by_id.values() if self._is_usable(w, now)]
-        for worker in usable:
-            worker.slowness = books.speeds.find_slowness(worker.id, now)
+        self.served = 0
+        self._drained = 0
+        usable = self._group_usable(now)
         for rank, step, queue in self._sort_ready():
-            waiting = step.waiting()
-            if waiting:
-                advice = books.desk.find(step.id) if queue.advice else None
-                self._serve(_Turn(step, queue, waiting, advice, rank, now), usable)
+            self._serve(step, queue, rank, usable.get(queue.service, []), now)
+        self._reservations.release()
+
+    def _group_usable(self, now: float) -> dict[str, list[Worker]]:
+        """Return the workers that may get starts, by their service."""
+        usable: dict[str, list[Worker]] = {}
+        for worker in self._books.worker_by_id.values():
+            if worker.entry is not None and self._is_usable(worker, now):
+                worker.slowness = self._books.speeds.find_slowness(worker.id, now)
+                usable.setdefault(worker.entry.service, []).append(worker)
+        return usable
 
     def _is_usable(self, worker: Worker, now: float) -> bool:
         if not worker.is_usable(now) or worker.entry is None:
@@ -94,60 +105,66 @@
         rows.sort(key=lambda row: (row[0], row[1].id))
         return rows
 
-    def _serve(self, turn: _Turn, usable: list[Worker]) -> None:
-        step, spec = turn.step, turn.step.spec
-        fitting = [
-            worker
-            for worker in usable
-            if worker.entry is not None
-            and worker.entry.service == turn.queue.service
-            and (not spec.label or spec.label in worker.entry.labels)
-            and may_share(step, worker)
-        ]
-        if turn.advice is not None and not turn.advice.is_good_by_worker:
+    def _serve(
+        self, step: StepRun, queue: Queue, rank: Rank, usable: list[Worker], now: float
+    ) -> None:
+        waiting = step.waiting()
+        if not waiting:
+            return
+        advice = self._books.desk.find(step.id) if queue.advice else None
+        if advice is not None and advice.is_asking and not advice.is_good_by_worker:
+            self.reason_by_step[step.id] = "advice on workers is under way"
+            return
+        spec = step.spec
+        allowed = self._books.count_allowed(step.occurrence.job.spec.tenant, spec.size)
+        needed = spec.count if spec.gang else 1
+        if len(waiting) < needed or allowed < needed:
             self.reason_by_step[step.id] = (
-                f"no advice yet on {len(fitting)} workers of {len(usable)}"
+                f"{len(waiting)} tasks are free to start, and the limit of the client"
+                f" account allows {allowed} more; {needed} are needed"
             )
-            self._ask(turn, fitting)
             return
-        good = [worker for worker in fitting if turn.may_be_good(worker)]
-        if turn.queue.priority > URGENT_PRIORITY:
-            good = [worker for worker in good if worker.id not in self._kept]
-        tenant = step.occurrence.job.spec.tenant
-        allowed = self._books.count_allowed(tenant, spec.size)
-        if spec.gang:
-            self._serve_gang(turn, good, allowed)
-        elif not allowed:
-            self.reason_by_step[step.id] = "its client account is at its limit"
+        self.served += 1
+        turn = _Turn(step, queue, waiting[:allowed], advice, rank, now)
+        workers = self._select_fitting(step, usable)
+        if advice is not None and not advice.is_good_by_worker:
+            self.reason_by_step[step.id] = (
+                f"there is no advice yet; {len(workers)} workers may be asked about"
+            )
+            self._ask(turn, workers, turn.waiting)
+        elif spec.gang:
+            self._serve_gang(turn, workers)
         else:
-            self._serve_tasks(turn, good, turn.waiting[:allowed])
-
-    def _serve_tasks(
-        self, turn: _Turn, good: list[Worker], waiting: list[Task]
-    ) -> None:
-        step = turn.step
-        placed = place_tasks(step, waiting, turn.select_ticketed(good))
+            self._serve_tasks(turn, workers)
+
+    def _select_fitting(self, step: StepRun, usable: list[Worker]) -> list[Worker]:
+        """Return the workers that have the step's label and may share with it."""
+        spec = step.spec
+        if spec.label:
+            usable = [w for w in usable if w.entry and spec.label in w.entry.labels]
+        if spec.fills or spec.target_s:
+            usable = [worker for worker in usable if may_share(step, worker)]
+        return usable
+
+    def _serve_tasks(self, turn: _Turn, workers: list[Worker]) -> None:
+        step, waiting = turn.step, turn.waiting
+        placed = place_tasks(step, waiting, turn.select_ticketed(workers))
         for task, worker in placed:
             self._commit(task, worker, task.run + 1)
-        if turn.advice is None or len(placed) == len(waiting):
+        if len(placed) == len(waiting):
             return
         left = [task for task in waiting if not task.worker]
-        wanted = place_tasks(step, left, good)
+        possible = turn.select_possible(workers) if turn.advice is not None else []
+        wanted = place_tasks(step, left, possible)
         self.reason_by_step[step.id] = (
             f"{len(wanted)} of {len(left)} tasks have room without a ticket"
         )
         if wanted:
-            self._ask(turn, [worker for _, worker in wanted])
+            self._ask(turn, possible, left)
 
-    def _serve_gang(self, turn: _Turn, good: list[Worker], allowed: int) -> None:
+    def _serve_gang(self, turn: _Turn, workers: list[Worker]) -> None:
         step, waiting = turn.step, turn.waiting
-        if len(waiting) < step.spec.count or allowed < step.spec.count:
-            self.reason_by_step[step.id] = (
-                f"gang: {len(waiting)} of {step.spec.count} are free to start,"
-                f" {allowed} allowed"
-            )
-            return
-        placed = place_gang(step, waiting, turn.select_ticketed(good))
+        placed = place_gang(step, waiting, turn.select_ticketed(workers))
         if placed:
             step.run = max(step.run, *(task.run for task in waiting)) + 1
             checkpoint = next((t.checkpoint for t in waiting if t.checkpoint), "")
@@ -155,33 +172,48 @@
                 task.checkpoint = checkpoint
                 self._commit(task, worker, step.run)
             return
-        self.reason_by_step[step.id] = "there is no room for the whole gang"
-        wanted = place_gang(step, waiting, good)
+        possible = turn.select_possible(workers)
+        wanted = place_gang(step, waiting, possible)
         if wanted:
-            self._ask(turn, [worker for _, worker in wanted])
-        elif not self._kept and turn.rank[0] < HOPELESS:
-            self._keep_room(step, good)
-
-    def _keep_room(self, step: StepRun, good: list[Worker]) -> None:
-        """Keep the workers that will soonest have room for a gang."""
-        missing = step.spec.count
-        size = step.spec.size
-        for worker in sorted(good, key=lambda w: -w.count_room(size)):
-            if missing <= 0 or worker.entry is None:
-                return
-            self._kept.add(worker.id)
-            whole = worker.entry.capacity.processors // max(1, size.processors)
-            missing -= max(1, whole)
-
-    def _ask(self, turn: _Turn, workers: list[Worker]) -> None:
+            self.reason_by_step[step.id] = "the gang has room without tickets"
+            for _, worker in wanted:
+                self._reservations.reserve(worker, step.spec.size, step.spec.fills)
+            self._ask(turn, possible, waiting)
+            return
+        self.reason_by_step[step.id] = "there is no room for the whole gang"
+        if self._drained < MAX_DRAINED_GANGS:
+            self._drained += 1
+            self._drain(turn, possible)
+
+    def _drain(self, turn: _Turn, possible: list[Worker]) -> None:
+        """Leave the workers alone that will soonest have room for a gang."""
+        spec, advice = turn.step.spec, turn.advice
+        missing = spec.count
+
+        def rank(worker: Worker) -> tuple[bool, int]:
+            is_known = advice is None or worker.id in advice.is_good_by_worker
+            return (not is_known, -worker.count_room(spec.size, spec.fills))
+
+        unknown = 0
+        for worker in sorted(possible, key=rank):
+            if missing <= 0:
+                break
+            self._reservations.reserve_all(worker)
+            missing -= worker.count_room_when_empty(spec.size, spec.fills)
+            unknown += rank(worker)[0]
+        if unknown:
+            self._ask(turn, possible, turn.waiting)
+
+    def _ask(self, turn: _Turn, workers: list[Worker], tasks: list[Task]) -> None:
         """Ask which of some workers may run the step, unless that is under way."""
         advice, policy = turn.advice, turn.queue.advice
-        if advice is None or policy is None or not workers:
+        if advice is None or policy is None:
             return
         if advice.is_asking or turn.now < advice.retry_at:
             return
-        names = tuple(dict.fromkeys(worker.id for worker in workers))
-        self._books.desk.ask(turn.step.id, names, policy, turn.rank)
+        names = choose_asked(turn.step, workers, len(tasks), advice, turn.now)
+        if names:
+            self._books.desk.ask(turn.step.id, names, policy, turn.rank)
 
     def _commit(self, task: Task, worker: Worker, run: int) -> None:
         """Record a placement; the order leaves once the record is stored."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
@@ -32,6 +32,10 @@
 """Seconds between two passes over the steps that wait: they go on while a batch is in
 flight, so a slow store delays neither advice nor the choice of workers."""
 
+PASS_PER_STEP_S = 0.0005
+"""Seconds added for each step that a pass looked at: twice what that takes with 176
+workers, so that passes leave the processor to other events."""
+
 EXPLAIN_INTERVAL_S = 2.0
 """Seconds between two logs of what waits and why."""
 
@@ -116,7 +120,7 @@
     def handle(self, event: Event) -> list[Effect]:
         """Reduce one event and return what is to be done."""
         self._reduce_by_type[type(event)](event)
-        self._runs.send_holds(event.now)
+        self._runs.send_holds(event.now, isinstance(event, events.Tick))
         self._flush(event.now)
         effects = self.books.effects
         self.books.effects = []
@@ -151,8 +155,9 @@
         books = self.books
         if books.needs_pass and now >= self._pass_due:
             books.needs_pass = False
-            self._pass_due = now + PASS_INTERVAL_S
             self._placing.run(now)
+            pause_s = PASS_INTERVAL_S + PASS_PER_STEP_S * self._placing.served
+            self._pass_due = now + pause_s
         books.effects.extend(books.desk.dispatch(now))
         ledger = books.ledger
         store = ledger.flush(now) if ledger.may_flush(now) else ledger.repeat(now)
@@ -181,7 +186,7 @@
 
     def _forget_ends(self, batch: Batch, now: float) -> None:
         for end in batch.ends:
-            worker = self.books.worker_by_id[end.worker]
+            worker = self.books.touch(end.worker)
             if worker.life == end.life:
                 worker.cursor = max(worker.cursor, end.number)
                 worker.hold_due = min(worker.hold_due, now)
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/runs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/runs.py
@@ -46,9 +46,16 @@
 
     # Holds
 
-    def send_holds(self, now: float) -> None:
-        """Send the holds that are due."""
-        for worker in self._books.worker_by_id.values():
+    def send_holds(self, now: float, looks_at_all: bool) -> None:
+        """Send the holds that are due.
+
+        :param looks_at_all: whether to look at every worker, or only at those that an
+            event has touched
+        """
+        books = self._books
+        touched = books.touched
+        books.touched = {}
+        for worker in (books.worker_by_id if looks_at_all else touched).values():
             if worker.is_holding or now < worker.hold_due or worker.entry is None:
                 continue
             if not worker.is_listed and not worker.task_by_id and worker.failed_holds:
@@ -83,7 +90,7 @@
 
     def on_hold_failed(self, event: HoldFailed) -> None:
         """Try again; without an answer the leases run out."""
-        worker = self._books.worker_by_id[event.worker]
+        worker = self._books.touch(event.worker)
         worker.is_holding = False
         worker.failed_holds += 1
         worker.hold_due = event.now + HOLD_RETRY_S
@@ -94,7 +101,7 @@
 
     def on_hold_answered(self, event: HoldAnswered) -> None:
         """Settle every run placed on the worker by what it lists."""
-        worker = self._books.worker_by_id[event.worker]
+        worker = self._books.touch(event.worker)
         worker.is_holding = False
         worker.hold_due = event.now
         worker.clock_ms = event.clock_ms
@@ -102,6 +109,7 @@
         if worker.failed_holds:
             self._books.note("worker_answers", worker=worker.id, life=event.life)
         worker.failed_holds = 0
+        worker.is_suspect = False
         if not self._check_life(worker, event):
             return
         worker.answered_at = event.now
@@ -217,7 +225,7 @@
 
     def on_start_answered(self, event: StartAnswered) -> None:
         """Confirm a start, repeat it, or place the task anew."""
-        worker = self._books.worker_by_id[event.worker]
+        worker = self._books.touch(event.worker)
         task = worker.task_by_id.get(event.task)
         if task is None or task.run != event.run:
             return
@@ -240,6 +248,8 @@
             on=worker.id,
             outcome=outcome.value,
         )
+        if outcome in (StartOutcome.UNKNOWN, StartOutcome.NOT_SENT):
+            worker.is_suspect = True
         if outcome is StartOutcome.OLD:
             task.barred_at = event.now
             worker.hold_due = min(worker.hold_due, event.now)
@@ -266,7 +276,7 @@
 
     def on_stop_answered(self, event: StopAnswered) -> None:
         """Note that a run can't begin any more; the next list settles it."""
-        worker = self._books.worker_by_id[event.worker]
+        worker = self._books.touch(event.worker)
         task = worker.task_by_id.get(event.task)
         if task is None or task.run != event.run or not event.is_confirmed:
             return
@@ -280,6 +290,7 @@
     def on_listed(self, event: WorkerListed) -> None:
         """Take an entry over; a new incarnation is held at once."""
         worker = self._books.find_worker(event.entry.id)
+        self._books.touch(worker.id)
         if worker.entry is None or worker.entry.is_ready != event.entry.is_ready:
             self._books.note(
                 "worker_listed", worker=worker.id, ready=event.entry.is_ready
--- a/testkit/planning/broken.py
+++ b/testkit/planning/broken.py
@@ -53,10 +53,10 @@
     """Place the tasks of a silent worker anew at once."""
     send = planner._runs.send_holds
 
-    def forget(now: float) -> None:
+    def forget(now: float, looks_at_all: bool) -> None:
         for worker in planner.books.worker_by_id.values():
             worker.lease_until = 0.0
-        send(now)
+        send(now, looks_at_all)
 
     planner._runs.send_holds = forget
 
--- /dev/null
+++ b/tests/planner/test_asking.py
@@ -0,0 +1,71 @@
+"""Loads of steps that ask about a fleet larger than one question may name."""
+
+from __future__ import annotations
+
+import unittest
+from collections import Counter
+from dataclasses import replace
+
+from jacinthloom_core.planner.advice import MAX_ASKED, StepAdvice, Ticket
+from jacinthloom_core.planner.asking import FEWEST_ASKED, choose_asked
+from jacinthloom_core.planner.fleet import Worker
+from jacinthloom_core.planner.jobs import Job
+from jacinthloom_core.planner.specs import JobSpec, StepSpec
+from jacinthloom_core.resources import Resources
+
+from .test_takeover import ENTRY
+
+FLEET = 176
+
+
+def make_worker(number: int, free: int = 64) -> Worker:
+    worker = Worker(f"w{number}", 1)
+    capacity = Resources(64, 128)
+    worker.accept(replace(ENTRY, id=worker.id, capacity=capacity))
+    worker.reserve(Resources(64 - free, 0))
+    return worker
+
+
+def make_step(number: int, count: int):  # type: ignore[no-untyped-def]
+    spec = StepSpec(count, Resources(18, 10), 5.0)
+    job = Job(JobSpec(f"{number:016x}", "q", "t", "", (spec,), 0))
+    return job.add_occurrence(0).steps[0]
+
+
+class AskingTest(unittest.TestCase):
+    def test_steps_that_wait_together_ask_about_different_workers(self) -> None:
+        workers = [make_worker(number) for number in range(FLEET)]
+        counts: Counter[str] = Counter()
+        for number in range(50):
+            step = make_step(number, count=2)
+            counts.update(choose_asked(step, workers, 2, StepAdvice(), 0.0))
+        self.assertEqual(sum(counts.values()), 50 * FEWEST_ASKED)
+        # A fair share is 6.8 each; the first ones of a list would get all 50.
+        self.assertLess(max(counts.values()), 25)
+        self.assertGreater(len(counts), 0.9 * FLEET)
+
+    def test_wide_step_asks_about_enough_room_and_no_more_than_allowed(self) -> None:
+        workers = [make_worker(number) for number in range(FLEET)]
+        names = choose_asked(make_step(1, 40), workers, 40, StepAdvice(), 0.0)
+        self.assertGreaterEqual(len(names) * 3 * 0.3, 40 * 1.5)
+        names = choose_asked(make_step(1, 400), workers, 400, StepAdvice(), 0.0)
+        self.assertEqual(len(names), MAX_ASKED)
+
+    def test_workers_with_room_come_before_full_ones(self) -> None:
+        workers = [make_worker(n, free=64 if n % 2 else 0) for n in range(FLEET)]
+        names = choose_asked(make_step(1, 20), workers, 20, StepAdvice(), 0.0)
+        self.assertTrue(all(int(name[1:]) % 2 for name in names))
+
+    def test_known_workers_are_asked_for_new_tickets_only(self) -> None:
+        workers = [make_worker(number) for number in range(FLEET)]
+        advice = StepAdvice(
+            ticket_by_worker={"w1": Ticket(0, "x", 10.0)},
+            is_good_by_worker={f"w{number}": True for number in range(20)},
+        )
+        names = choose_asked(make_step(1, 9), workers, 9, advice, 0.0)
+        self.assertNotIn("w1", names)
+        self.assertTrue(all(int(name[1:]) < 20 for name in names))
+
+
+if __name__ == "__main__":
+    unittest.main()
