Prefer large hosts as planners; let streams wait for a planner that loads

Members now tell their processors in the hello of a stream, and whether they reach the store in each ping. A host with less than 0.7 of the largest known one leaves a claim to the larger ones for 0.5 s, and a planner on such a host hands its term over once it is 3 s old. Hosts of like size behave as before.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
@@ -39,6 +39,16 @@
 STAND_DOWN_S = 4.0
 """Seconds for which a planner that most members can't reach does not claim again."""
 
+LARGE_SHARE = 0.7
+"""Share of the largest known host's processors from which a host counts as large."""
+
+DEFER_S = 0.5
+"""Seconds for which a smaller host leaves a claim to the larger ones."""
+
+HAND_OVER_AFTER_S = 3.0
+"""Seconds for which a planner keeps its term before it hands it to a larger host: a
+change in the middle of other trouble would add to it."""
+
 RENEW_S = 0.35
 """Seconds from one renewal to the next, if the store is not slower."""
 
@@ -89,9 +99,12 @@
 class Election:
     """What one member has read of the election, and what it may do."""
 
-    def __init__(self, member: str, address: str) -> None:
+    def __init__(self, member: str, address: str, processors: float = 1.0) -> None:
         self.member = member
         self.address = address
+        self.processors = processors
+        self.largest_processors = 0.0
+        """Processors of the largest other host that may plan, as far as is known."""
         self.end = 0
         """Offset behind the last record that was read."""
         self.term: Term | None = None
@@ -156,19 +169,26 @@
             self.term = None
             self._released_at = now
 
+    @property
+    def is_small(self) -> bool:
+        """Whether a much larger host may plan in place of this one."""
+        return self.processors < LARGE_SHARE * self.largest_processors
+
     def may_claim(self, now: float) -> bool:
         """Whether no planner has been heard of for long enough."""
         if self.is_planner or now - self._answered_at > READ_GAP_S:
             return False
         if now < self._stands_down_until:
             return False
+        defer_s = DEFER_S if self.is_small else 0.0
         if self.term is None:
-            return self._is_young or now - self._released_at >= YOUNGER_FIRST_S
-        if now - self._abdicated_at < ABDICATION_S:
+            wait_s = 0.0 if self._is_young else YOUNGER_FIRST_S
+            return now - self._released_at >= wait_s + defer_s
+        if defer_s <= now - self._abdicated_at < ABDICATION_S:
             return True
         is_suspect = self.term.number == self._suspect_term
         patience_s = SUSPECT_CLAIM_AFTER_S if is_suspect else CLAIM_AFTER_S
-        return now - self._quiet_since >= patience_s
+        return now - self._quiet_since >= patience_s + defer_s
 
     def on_told(self, term: Term) -> bool:
         """Take over a newer term that another member has read; return whether it is.
@@ -220,6 +240,10 @@
         """Whether the planner of the newest term has been heard of lately."""
         return self.term is not None and now - self._quiet_since < CLAIM_AFTER_S
 
+    def reaches_store(self, now: float) -> bool:
+        """Whether the election could be read lately."""
+        return now - self._answered_at <= READ_GAP_S
+
     def has_authority(self, now: float) -> bool:
         """Whether no other member can have claimed yet."""
         return self.is_planner and now - self._renewed_at < AUTHORITY_S
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/messages.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/messages.py
@@ -27,16 +27,21 @@
 
 
 class Hello(Message, frozen=True):
-    """The member on the other end, and where it takes streams."""
+    """The member on the other end, where it takes streams, and its processors."""
 
     member: str
     address: str
+    processors: float = 1.0
 
 
 class Members(Message, frozen=True):
-    """Where the members that the planner knows take streams."""
+    """Where the members that the planner knows take streams.
+
+    The last field tells the processors of the largest of them that reaches the store.
+    """
 
     addresses: tuple[str, ...]
+    largest_processors: float = 0.0
 
 
 class AskTerm(Message, frozen=True):
@@ -118,7 +123,9 @@
 
 
 class Ping(Message, frozen=True):
-    """Shows that the stream is alive."""
+    """Shows that the stream is alive, and whether its sender reaches the store."""
+
+    reaches_store: bool = True
 
 
 PlannerCall = Submit | Cancel | Show | Count
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_link.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_link.py
@@ -194,7 +194,9 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._writer = writer
-        self._send(messages.Hello(self._member, self._address))
+        self._send(
+            messages.Hello(self._member, self._address, self._election.processors)
+        )
         pings = asyncio.create_task(self._ping())
         try:
             while True:
@@ -206,6 +208,7 @@
                     self._on_answer(message)
                 elif isinstance(message, messages.Members):
                     self._peers = message.addresses
+                    self._election.largest_processors = message.largest_processors
                 elif isinstance(message, messages.AdviceOrder):
                     self._spawn_advice(message)
                 elif isinstance(message, messages.Abdicated):
@@ -217,7 +220,7 @@
     async def _ping(self) -> None:
         while True:
             await asyncio.sleep(PING_S)
-            self._send(messages.Ping())
+            self._send(messages.Ping(self._election.reaches_store(time.monotonic())))
 
     async def ask_peers(self) -> None:
         """Learn of a newer term from other members, while there is no planner.
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_server.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_server.py
@@ -14,6 +14,12 @@
 
     from .planner_host import PlannerHost
 
+LOAD_WAIT_S = 1.0
+"""Seconds for which a stream waits until the planner has loaded its records."""
+
+STREAM_ERRORS = (OSError, EOFError, TimeoutError, messages.FrameError)
+"""What ends a stream between hosts."""
+
 
 class PlannerServer:
     """Take streams from members for the planner of this process."""
@@ -21,6 +27,7 @@
     def __init__(self, election: Election) -> None:
         self._election = election
         self._host: PlannerHost | None = None
+        self._has_host = asyncio.Event()
         self._session_by_member: dict[str, _Session] = {}
         self._server: asyncio.Server | None = None
         self._sessions: set[_Session] = set()
@@ -33,7 +40,10 @@
     def set_host(self, host: PlannerHost | None) -> None:
         """Serve a planner, or none: then every stream is closed."""
         self._host = host
-        if host is None:
+        if host is not None:
+            self._has_host.set()
+        else:
+            self._has_host.clear()
             for session in list(self._sessions):
                 session.close()
 
@@ -57,7 +67,13 @@
     def _tell_members(self) -> None:
         addresses = sorted(s.address for s in self._session_by_member.values())
         own = self._election.address
-        self.broadcast(messages.Members((own, *addresses)))
+        members = messages.Members((own, *addresses), self.find_largest_processors())
+        self.broadcast(members)
+
+    def find_largest_processors(self) -> float:
+        """Return those of the largest connected host that reaches the store."""
+        sessions = self._session_by_member.values()
+        return max((s.processors for s in sessions if s.reaches_store), default=0.0)
 
     def _make_term_told(self) -> messages.TermTold:
         term = self._election.term
@@ -65,70 +81,86 @@
             return messages.TermTold(0, "", "")
         return messages.TermTold(term.number, term.member, term.address)
 
-    async def _tell_term(
+    async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        """Take the first message: a question, or the begin of a member's stream."""
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                if isinstance(await messages.read_message(reader), messages.AskTerm):
-                    writer.write(messages.encode(self._make_term_told()))
-                    await writer.drain()
-        except (OSError, EOFError, TimeoutError, messages.FrameError) as error:
+                first = await messages.read_message(reader)
+            if isinstance(first, messages.AskTerm):
+                writer.write(messages.encode(self._make_term_told()))
+                await writer.drain()
+            elif isinstance(first, messages.Hello):
+                host = await self._wait_for_host()
+                if host is not None:
+                    await self._serve(reader, writer, host, first)
+        except STREAM_ERRORS as error:
             log.write("peer_dropped", reason=type(error).__name__)
         finally:
             writer.close()
 
-    async def _accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    async def _wait_for_host(self) -> PlannerHost | None:
+        """Return the planner, once it has loaded; None if this member has no term."""
+        if self._host is None and self._election.is_planner:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(LOAD_WAIT_S):
+                    await self._has_host.wait()
+        return self._host
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        host: PlannerHost,
+        hello: messages.Hello,
     ) -> None:
-        host = self._host
-        if host is None:
-            await self._tell_term(reader, writer)
-            return
-        session = _Session(writer, host)
+        session = _Session(writer, host, hello)
         self._sessions.add(session)
+        self._session_by_member[session.member] = session
+        session.send(messages.Hello("", ""))
+        host.on_member(session.member, True)
+        self._tell_members()
         pings = asyncio.create_task(session.ping())
         try:
             while True:
                 async with asyncio.timeout(SILENCE_S):
                     message = await messages.read_message(reader)
-                if isinstance(message, messages.Hello):
-                    self._session_by_member[message.member] = session
-                    session.member = message.member
-                    session.address = message.address
-                    session.send(messages.Hello("", ""))
-                    host.on_member(message.member, True)
-                    self._tell_members()
-                elif isinstance(message, messages.AskTerm):
-                    session.send(self._make_term_told())
+                if isinstance(message, messages.Ping):
+                    session.reaches_store = message.reaches_store
                 elif isinstance(message, messages.Advised):
                     host.on_advised(session.member, message)
                 elif isinstance(message, messages.PlannerCall):
                     session.spawn(message)
-        except (OSError, EOFError, TimeoutError, messages.FrameError) as error:
-            log.write(
-                "member_disconnected",
-                member=session.member,
-                reason=type(error).__name__,
-            )
+        except STREAM_ERRORS as error:
+            reason = type(error).__name__
+            log.write("member_disconnected", member=session.member, reason=reason)
         finally:
             pings.cancel()
-            self._sessions.discard(session)
-            if self._session_by_member.get(session.member) is session:
-                del self._session_by_member[session.member]
-                host.on_member(session.member, False)
-            session.close()
+            self._remove(session)
+
+    def _remove(self, session: _Session) -> None:
+        self._sessions.discard(session)
+        session.close()
+        if self._session_by_member.get(session.member) is session:
+            del self._session_by_member[session.member]
+            session.host.on_member(session.member, False)
+            self._tell_members()
 
 
 class _Session:
     """The stream of one member."""
 
-    def __init__(self, writer: asyncio.StreamWriter, host: PlannerHost) -> None:
+    def __init__(
+        self, writer: asyncio.StreamWriter, host: PlannerHost, hello: messages.Hello
+    ) -> None:
         self._writer = writer
-        self._host = host
         self._calls: set[asyncio.Task[None]] = set()
-        self.member = ""
-        self.address = ""
+        self.host = host
+        self.member = hello.member
+        self.address = hello.address
+        self.processors = hello.processors
+        self.reaches_store = True
 
     def send(self, message: messages.AnyMessage) -> None:
         self._writer.write(messages.encode(message))
@@ -140,7 +172,7 @@
 
     async def _answer(self, call: messages.PlannerCall) -> None:
         with contextlib.suppress(asyncio.CancelledError):
-            self.send(await self._host.call(call))
+            self.send(await self.host.call(call))
 
     async def ping(self) -> None:
         while True:
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from jacinthloom_core.planner.books import PlannerSettings
-from jacinthloom_core.planner.election import Election
+from jacinthloom_core.planner.election import HAND_OVER_AFTER_S, Election
 from jacinthloom_wire.http_server import HttpServer, ServerLimits, ServerResponse
 
 from ..metrics import Latency
@@ -61,7 +61,9 @@
         self._member = f"{settings.name}.{secrets.token_hex(3)}"
         self._store = LogStore(settings.store_address)
         self._advice = AdviceClient(settings.advice_address or "127.0.0.1:9")
-        self._election = Election(self._member, settings.peer_address)
+        self._election = Election(
+            self._member, settings.peer_address, settings.processors
+        )
         self._elections = ElectionFollower(
             self._store, self._election, self._on_term, self._on_abdicated
         )
@@ -76,6 +78,7 @@
         self._feed = OperatorFeed(self._store, self._on_rules, self._on_zones)
         self._front = Front(self._feed, self._link)
         self._host: PlannerHost | None = None
+        self._planning_since = 0.0
         self._append_latency = Latency(
             "jacinthloom_append_seconds", "Time from a batch to its acknowledgement."
         )
@@ -175,6 +178,16 @@
                 log.write("unreachable", connected=connected)
                 self._election.stand_down(now)
                 await self._hand_over()
+            elif self._should_hand_over(now):
+                log.write("handed_to_larger_host", processors=self._election.processors)
+                self._election.stand_down(now)
+                await self._hand_over()
+
+    def _should_hand_over(self, now: float) -> bool:
+        """Whether a much larger host could plan, and the term is not young."""
+        self._election.largest_processors = self._peers.find_largest_processors()
+        is_old = now - self._planning_since > HAND_OVER_AFTER_S
+        return self._election.is_small and is_old
 
     # Terms
 
@@ -207,6 +220,7 @@
             self._append_latency,
         )
         self._host = host
+        self._planning_since = time.monotonic()
         await self._feed.has_rules.wait()
         run = asyncio.create_task(host.run(self._feed.rules, self._feed.zones_out))
         ready = asyncio.create_task(host.is_ready.wait())
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/node_settings.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/node_settings.py
@@ -26,6 +26,7 @@
     :param status_s: seconds that a final state is shown
     :param grace_s: seconds from SIGTERM until the process is killed
     :param apply_s: seconds until a new configuration must be in force
+    :param processors: cores that the process may use
     """
 
     name: str
@@ -39,6 +40,7 @@
     status_s: float
     grace_s: float
     apply_s: float
+    processors: float
 
     @classmethod
     def from_environment(cls) -> NodeSettings:
@@ -85,6 +87,8 @@
             status_s=fields.number("bounds.status_s", "120"),
             grace_s=fields.number("bounds.graceS", "6"),
             apply_s=fields.number("bounds.configApplyMs", "2000") / 1000,
+            processors=fields.number("limits.cpuShare", "1")
+            * fields.number("limits.cores", "1"),
         )
 
 
--- a/tests/planner/test_election.py
+++ b/tests/planner/test_election.py
@@ -7,6 +7,7 @@
 from jacinthloom_core.planner.election import (
     AUTHORITY_S,
     CLAIM_AFTER_S,
+    DEFER_S,
     SUSPECT_CLAIM_AFTER_S,
     Act,
     Election,
@@ -74,6 +75,21 @@
         election.on_abdicated(7, 0.4)
         self.assertFalse(election.may_claim(0.5))
 
+    def test_small_host_leaves_the_claim_to_larger_ones_for_a_while(self) -> None:
+        small, large = follow(1.2), follow(1.2)
+        small.processors, large.processors = 0.5, 2.0
+        small.largest_processors = large.largest_processors = 2.0
+        self.assertTrue(large.may_claim(CLAIM_AFTER_S))
+        self.assertFalse(small.may_claim(CLAIM_AFTER_S))
+        now = CLAIM_AFTER_S + DEFER_S
+        small.on_read([], 1, now)
+        self.assertTrue(small.may_claim(now))
+
+    def test_hosts_of_like_size_are_alike(self) -> None:
+        election = follow(1.2)
+        election.processors, election.largest_processors = 1.0, 1.1
+        self.assertTrue(election.may_claim(CLAIM_AFTER_S))
+
     def test_renewal_makes_an_abdication_void(self) -> None:
         election = follow(0.4)
         election.on_abdicated(1, 0.4)
