--- a/bench/day.py
+++ b/bench/day.py
@@ -5,9 +5,9 @@
 from functools import partial
 
 from jacinthloom_core import Member
-from jacinthloom_core.configuration import ClassesAndTeams
-from jacinthloom_core.level import LevelPolicy
-from jacinthloom_core.settings import MemberSettings
+from jacinthloom_core.policy.level import LevelPolicy
+from jacinthloom_core.vocabulary.configuration import ClassesAndTeams
+from jacinthloom_core.vocabulary.settings import MemberSettings
 
 from testkit.virtual import Faults, World
 
--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -5,27 +5,28 @@
 import time
 from statistics import median
 
-from jacinthloom_core import Member, MemberSettings, events
-from jacinthloom_core.configuration import (
+from jacinthloom_core import Member, MemberSettings
+from jacinthloom_core.policy.level import UnboundedLevel
+from jacinthloom_core.vocabulary import events
+from jacinthloom_core.vocabulary.configuration import (
     ClassesAndTeams,
     KeyGrant,
     KeyHash,
     Team,
     WorkClass,
 )
-from jacinthloom_core.effects import AppendBatch, AskReport, Exchange
-from jacinthloom_core.level import UnboundedLevel
-from jacinthloom_core.messages import TasksGranted
-from jacinthloom_core.operations import PublishChange
-from jacinthloom_core.records import LogEntry
-from jacinthloom_core.reports import (
+from jacinthloom_core.vocabulary.effects import AppendBatch, AskReport, Exchange
+from jacinthloom_core.vocabulary.messages import TasksGranted
+from jacinthloom_core.vocabulary.operations import PublishChange
+from jacinthloom_core.vocabulary.records import LogEntry
+from jacinthloom_core.vocabulary.reports import (
     Completion,
     HostInfo,
     StartResult,
     WorkerReport,
 )
-from jacinthloom_core.resources import NOTHING, Resources
-from jacinthloom_core.work import Grant, WorkSpec
+from jacinthloom_core.vocabulary.resources import NOTHING, Resources
+from jacinthloom_core.vocabulary.work import Grant, WorkSpec
 
 CHECK = WorkClass("check", "batch", 7 * 86_400.0)
 LOOKUP = WorkClass("lookup", "request", 5.0)
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -6,8 +6,8 @@
 from functools import partial
 from statistics import median
 
-from jacinthloom_core.answers import ChangeAnswer, RequestAnswer
-from jacinthloom_core.configuration import KeyWithdrawal, ZoneOut
+from jacinthloom_core.vocabulary.answers import ChangeAnswer, RequestAnswer
+from jacinthloom_core.vocabulary.configuration import KeyWithdrawal, ZoneOut
 
 from testkit.virtual import Faults, World
 from testkit.virtual.schedule import LOOKUP, REBUILD, Schedule
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -9,8 +9,8 @@
 import time
 from pathlib import Path
 
-from jacinthloom_core import codec
-from jacinthloom_core.configuration import (
+from jacinthloom_core.ledger import codec
+from jacinthloom_core.vocabulary.configuration import (
     Change,
     ClassesAndTeams,
     KeyGrant,
--- a/packages/jacinthloom-cli/src/jacinthloom_cli/operator_commands.py
+++ b/packages/jacinthloom-cli/src/jacinthloom_cli/operator_commands.py
@@ -8,8 +8,8 @@
 from typing import TYPE_CHECKING, Any, ClassVar
 
 from cleo.helpers import argument
-from jacinthloom_core import codec
-from jacinthloom_core.configuration import (
+from jacinthloom_core.ledger import codec
+from jacinthloom_core.vocabulary.configuration import (
     Change,
     KeyGrant,
     KeyHash,
@@ -17,7 +17,7 @@
     ZoneIn,
     ZoneOut,
 )
-from jacinthloom_core.resources import MILLICORES_PER_PROCESSOR, UNLIMITED
+from jacinthloom_core.vocabulary.resources import MILLICORES_PER_PROCESSOR, UNLIMITED
 from jacinthloom_wire.errors import TransportError
 
 from .base import (
--- a/packages/jacinthloom-core/src/jacinthloom_core/__init__.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/__init__.py
@@ -3,6 +3,6 @@
 from __future__ import annotations
 
 from .reducer import Member
-from .settings import MemberSettings
+from .vocabulary.settings import MemberSettings
 
 __all__ = ["Member", "MemberSettings"]
--- a/packages/jacinthloom-core/src/jacinthloom_core/context.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/context.py
@@ -5,12 +5,12 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from .effects import Note
-from .log_state import LogState
+from .ledger.log_state import LogState
+from .vocabulary.effects import Note
 
 if TYPE_CHECKING:
-    from .effects import Effect
-    from .settings import MemberSettings
+    from .vocabulary.effects import Effect
+    from .vocabulary.settings import MemberSettings
 
 
 class Context:
--- a/packages/jacinthloom-core/src/jacinthloom_core/admission.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/job_homes/admission.py
@@ -5,14 +5,14 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from .answers import Refusal
+from ..vocabulary.answers import Refusal
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from .context import Context
-    from .membership import Membership
-    from .work import WorkSpec
+    from ..context import Context
+    from ..members.membership import Membership
+    from ..vocabulary.work import WorkSpec
 
 OPEN_TEAM = ""
 """Team that work on open classes counts against."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/explanation.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/job_homes/explanation.py
@@ -5,11 +5,11 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from .context import Context
+    from ..context import Context
+    from ..members.membership import Membership
+    from ..policy.pacer import Pacer
     from .home_job import HomeJob
     from .homes import Homes
-    from .membership import Membership
-    from .pacer import Pacer
 
 MILLI = 1000
 
--- a/packages/jacinthloom-core/src/jacinthloom_core/gangs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/job_homes/gangs.py
@@ -4,18 +4,18 @@
 
 from typing import TYPE_CHECKING
 
-from .grant_queue import NO_ROOM
-from .messages import AttemptStopAsked, GangReleased, TasksGranted
+from ..vocabulary.messages import AttemptStopAsked, GangReleased, TasksGranted
+from ..vocabulary.work import attempt_key
+from ..worker_owners.grant_queue import NO_ROOM
 from .retries import compute_backoff
-from .work import attempt_key
 
 if TYPE_CHECKING:
-    from .context import Context
+    from ..context import Context
+    from ..members.post import Post
+    from ..policy.pacer import Pacer
+    from ..vocabulary.work import Grant
     from .granting import Granting
     from .home_job import HomeJob
-    from .pacer import Pacer
-    from .post import Post
-    from .work import Grant
 
 GANG_TIMEOUT_S = 3.0
 """Seconds for all tasks of a gang to get room."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/granting.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/job_homes/granting.py
@@ -8,21 +8,21 @@
 
 from sortedcontainers import SortedList
 
-from .grant_queue import order_of
+from ..vocabulary.messages import TasksGranted
+from ..vocabulary.work import ATTEMPTS_PER_VIEW, Grant, split_attempt_key
+from ..worker_owners.grant_queue import order_of
 from .home_job import Found, Placed
-from .messages import TasksGranted
-from .work import ATTEMPTS_PER_VIEW, Grant, split_attempt_key
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from .context import Context
-    from .grant_queue import Order
+    from ..context import Context
+    from ..members.membership import Membership
+    from ..members.post import Post
+    from ..vocabulary.work import WorkSpec
+    from ..worker_owners.grant_queue import Order
+    from ..worker_owners.owner import Owner
     from .home_job import HomeJob
-    from .membership import Membership
-    from .owner import Owner
-    from .post import Post
-    from .work import WorkSpec
 
 LEAST_WINDOW = 2
 """Grants of one team that may wait at one owner at a time."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/home_job.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/job_homes/home_job.py
@@ -6,9 +6,9 @@
 from typing import TYPE_CHECKING, Literal
 
 if TYPE_CHECKING:
-    from .grant_queue import Order
-    from .jobs import Job
-    from .work import WorkSpec
+    from ..ledger.jobs import Job
+    from ..vocabulary.work import WorkSpec
+    from ..worker_owners.grant_queue import Order
 
 NOWHERE = ""
 """Owner of an attempt whose worker may be changing hands."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/homes.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/job_homes/homes.py
@@ -4,26 +4,26 @@
 
 from typing import TYPE_CHECKING
 
+from ..vocabulary.messages import AttemptStopAsked
+from ..vocabulary.records import JobRefused, TaskEnded
+from ..vocabulary.work import attempt_key
+from ..worker_owners.grant_queue import NO_ROOM
 from .gangs import Gangs
-from .grant_queue import NO_ROOM
 from .granting import Granting
 from .home_job import HomeJob
-from .messages import AttemptStopAsked
-from .records import JobRefused, TaskEnded
 from .recovery import Recovery
 from .retries import RetryBudget, compute_backoff
-from .work import attempt_key
 
 if TYPE_CHECKING:
-    from .context import Context
-    from .jobs import Job
-    from .membership import Membership
-    from .messages import AttemptOver, AttemptStarted, GrantReturned
-    from .owner import Owner
-    from .pacer import Pacer
-    from .post import Post
-    from .work import WorkSpec
-    from .writer import Writer
+    from ..context import Context
+    from ..ledger.jobs import Job
+    from ..ledger.writer import Writer
+    from ..members.membership import Membership
+    from ..members.post import Post
+    from ..policy.pacer import Pacer
+    from ..vocabulary.messages import AttemptOver, AttemptStarted, GrantReturned
+    from ..vocabulary.work import WorkSpec
+    from ..worker_owners.owner import Owner
 
 FAILURES_ALLOWED = 3
 """Workers that a task may fail on before it has failed for good."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/job_desk.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/job_homes/job_desk.py
@@ -5,22 +5,22 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from .answers import JobAnswer, Refusal
-from .effects import Reply
+from ..vocabulary.answers import JobAnswer, Refusal
+from ..vocabulary.effects import Reply
+from ..vocabulary.messages import JobAsked, JobTold
+from ..vocabulary.records import JobAccepted, JobCancelled
 from .explanation import explain_job
-from .messages import JobAsked, JobTold
-from .records import JobAccepted, JobCancelled
 
 if TYPE_CHECKING:
+    from ..context import Context
+    from ..ledger.jobs import JobSummary
+    from ..ledger.writer import Writer
+    from ..members.membership import Membership
+    from ..policy.pacer import Pacer
+    from ..vocabulary.events import CancelReceived, JobQueried, RequestReceived
+    from ..vocabulary.records import MemberInfo
     from .admission import Admission
-    from .context import Context
-    from .events import CancelReceived, JobQueried, RequestReceived
     from .homes import Homes
-    from .jobs import JobSummary
-    from .membership import Membership
-    from .pacer import Pacer
-    from .records import MemberInfo
-    from .writer import Writer
 
 ACCEPT_TIMEOUT_S = 10.0
 """Seconds until a submitter is told that acceptance is unknown."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/recovery.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/job_homes/recovery.py
@@ -4,18 +4,18 @@
 
 from typing import TYPE_CHECKING
 
+from ..vocabulary.messages import HoldingsAsked, HoldingsTold
+from ..vocabulary.work import ATTEMPTS_PER_VIEW, attempt_key, split_attempt_key
 from .home_job import NOWHERE, Found, Placed
-from .messages import HoldingsAsked, HoldingsTold
-from .work import ATTEMPTS_PER_VIEW, attempt_key, split_attempt_key
 
 if TYPE_CHECKING:
-    from .context import Context
+    from ..context import Context
+    from ..members.membership import Membership
+    from ..members.post import Post
+    from ..vocabulary.records import WorkerReconciled
+    from ..worker_owners.owner import Owner
     from .granting import Granting
     from .home_job import HomeJob
-    from .membership import Membership
-    from .owner import Owner
-    from .post import Post
-    from .records import WorkerReconciled
 
 DOUBT_S = 3.0
 """Seconds left for a completion to arrive once a worker was taken over."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/requests.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/job_homes/requests.py
@@ -5,25 +5,25 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from .answers import Refusal, RequestAnswer
-from .effects import Reply
-from .messages import AttemptStopAsked, TasksGranted
-from .records import AttemptBegun, AttemptEnded
-from .work import Grant, attempt_key, split_attempt_key
+from ..vocabulary.answers import Refusal, RequestAnswer
+from ..vocabulary.effects import Reply
+from ..vocabulary.messages import AttemptStopAsked, TasksGranted
+from ..vocabulary.records import AttemptBegun, AttemptEnded
+from ..vocabulary.work import Grant, attempt_key, split_attempt_key
 
 if TYPE_CHECKING:
+    from ..context import Context
+    from ..ledger.jobs import IdempotentAttempt
+    from ..ledger.log_state import Applied
+    from ..ledger.writer import Writer
+    from ..members.membership import Membership
+    from ..members.post import Post
+    from ..vocabulary.answers import Answer, RefusalCode
+    from ..vocabulary.events import RequestReceived
+    from ..vocabulary.messages import AttemptOver, AttemptStarted, GrantReturned
+    from ..vocabulary.work import Outcome, WorkSpec
+    from ..worker_owners.owner import Owner
     from .admission import Admission
-    from .answers import Answer, RefusalCode
-    from .context import Context
-    from .events import RequestReceived
-    from .jobs import IdempotentAttempt
-    from .log_state import Applied
-    from .membership import Membership
-    from .messages import AttemptOver, AttemptStarted, GrantReturned
-    from .owner import Owner
-    from .post import Post
-    from .work import Outcome, WorkSpec
-    from .writer import Writer
 
 ANSWER_GRACE_S = 1.0
 """Seconds past the deadline for word of what became of an attempt."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/retries.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/job_homes/retries.py
@@ -4,10 +4,10 @@
 
 from typing import TYPE_CHECKING
 
-from .view import rendezvous
+from ..members.view import rendezvous
 
 if TYPE_CHECKING:
-    from .context import Context
+    from ..context import Context
 
 FIRST_BACKOFF_S = 0.5
 """Delay before the first retry of a task."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/codec.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/ledger/codec.py
@@ -9,10 +9,10 @@
 import msgpack
 from cattrs import Converter
 
-from .configuration import Change
-from .errors import CoreError
-from .messages import Message
-from .records import Record
+from ..vocabulary.configuration import Change
+from ..vocabulary.errors import CoreError
+from ..vocabulary.messages import Message
+from ..vocabulary.records import Record
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/jacinthloom-core/src/jacinthloom_core/image.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/ledger/image.py
@@ -5,12 +5,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from .configuration import Configuration
+from ..members.view import View
+from ..vocabulary.configuration import Configuration
+from ..vocabulary.records import MemberInfo
+from ..vocabulary.resources import Resources
 from .jobs import IdempotentAttempt, Job, JobSummary, Peak
 from .log_state import ChangeResult, ChangeSummary
-from .records import MemberInfo
-from .resources import Resources
-from .view import View
 
 if TYPE_CHECKING:
     from .log_state import LogState
--- a/packages/jacinthloom-core/src/jacinthloom_core/jobs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/ledger/jobs.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from .work import WorkSpec
+from ..vocabulary.work import WorkSpec
 
 if TYPE_CHECKING:
-    from .records import TaskEnded
+    from ..vocabulary.records import TaskEnded
 
 RESULTS_KEPT = 64
 """Task results kept for a job."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/log_feed.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/ledger/log_feed.py
@@ -4,16 +4,16 @@
 
 from typing import TYPE_CHECKING
 
-from . import messages, records
+from ..vocabulary import messages, records
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from . import events
-    from .context import Context
+    from ..context import Context
+    from ..reducer import Member
+    from ..vocabulary import events
+    from ..vocabulary.records import LogEntry, MemberInfo
     from .log_state import Applied
-    from .records import LogEntry, MemberInfo
-    from .reducer import Member
 
 ENTRIES_KEPT = 512
 """Latest log entries kept for peers that can't read the log."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/log_state.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/ledger/log_state.py
@@ -7,11 +7,16 @@
 from datetime import UTC, datetime
 from typing import TYPE_CHECKING
 
-from .allotments import POOL, Allotments
-from .configuration import ClassesAndTeams, Configuration, apply_change, describe_change
-from .estimates import Estimates
-from .jobs import IdempotentAttempt, Job, JobSummary, Peak
-from .records import (
+from ..members.view import View
+from ..policy.allotments import POOL, Allotments
+from ..policy.estimates import Estimates
+from ..vocabulary.configuration import (
+    ClassesAndTeams,
+    Configuration,
+    apply_change,
+    describe_change,
+)
+from ..vocabulary.records import (
     AllotmentsMoved,
     AttemptBegun,
     AttemptEnded,
@@ -25,13 +30,13 @@
     ViewProposed,
     WorkerReconciled,
 )
-from .reports import rack_of
-from .view import View
+from ..vocabulary.reports import rack_of
+from .jobs import IdempotentAttempt, Job, JobSummary, Peak
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
-    from .records import LogEntry, Record
+    from ..vocabulary.records import LogEntry, Record
 
 SUMMARIES_KEPT = 4_000
 """Ended jobs whose summary is kept."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/snapshots.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/ledger/snapshots.py
@@ -4,14 +4,14 @@
 
 from typing import TYPE_CHECKING
 
+from ..vocabulary.records import SnapshotChunk
 from . import codec
 from .image import StateImage, load_image, make_image
-from .records import SnapshotChunk
 
 if TYPE_CHECKING:
-    from .context import Context
-    from .membership import Membership
-    from .records import LogEntry
+    from ..context import Context
+    from ..members.membership import Membership
+    from ..vocabulary.records import LogEntry
     from .writer import Writer
 
 SNAPSHOT_ENTRIES = 2_000
--- a/packages/jacinthloom-core/src/jacinthloom_core/writer.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/ledger/writer.py
@@ -4,13 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from .effects import AppendBatch
-from .records import Batch, SnapshotChunk
-from .settings import LOG_BATCH_INTERVAL_S
+from ..vocabulary.effects import AppendBatch
+from ..vocabulary.records import Batch, SnapshotChunk
+from ..vocabulary.settings import LOG_BATCH_INTERVAL_S
 
 if TYPE_CHECKING:
-    from .context import Context
-    from .records import LogEntry, Record
+    from ..context import Context
+    from ..vocabulary.records import LogEntry, Record
 
 RECORDS_PER_BATCH = 400
 """Most records in one batch."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/channels.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/members/channels.py
@@ -5,13 +5,13 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
-from .effects import SendPacket
-from .messages import Packet
+from ..vocabulary.effects import SendPacket
+from ..vocabulary.messages import Packet
 
 if TYPE_CHECKING:
-    from .context import Context
-    from .messages import Message
-    from .records import MemberInfo
+    from ..context import Context
+    from ..vocabulary.messages import Message
+    from ..vocabulary.records import MemberInfo
 
 RESEND_S = 1.5
 """Seconds without an acknowledgement after which messages are sent again."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/membership.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/members/membership.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from .messages import Assurance, AssuranceAsked, JoinAsked, Room
-from .resources import NOTHING
-from .settings import (
+from ..vocabulary.messages import Assurance, AssuranceAsked, JoinAsked, Room
+from ..vocabulary.resources import NOTHING
+from ..vocabulary.settings import (
     AUTHORITY_TTL_S,
     DETECTION_S,
     FRESHNESS_S,
@@ -16,15 +16,15 @@
     STATUS_INTERVAL_S,
     TAKEOVER_WAIT_S,
 )
+from ..vocabulary.work import host_of, is_request
 from .view import View
-from .work import host_of, is_request
 
 if TYPE_CHECKING:
+    from ..context import Context
+    from ..vocabulary.messages import Message
+    from ..vocabulary.records import MemberInfo
+    from ..vocabulary.resources import Resources
     from .channels import Channels
-    from .context import Context
-    from .messages import Message
-    from .records import MemberInfo
-    from .resources import Resources
 
 NEVER = float("-inf")
 """A time before all others."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/post.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/members/post.py
@@ -6,10 +6,10 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from ..context import Context
+    from ..vocabulary.messages import Message
     from .channels import Channels
-    from .context import Context
     from .membership import Membership
-    from .messages import Message
 
 
 class Post:
--- a/packages/jacinthloom-core/src/jacinthloom_core/proposals.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/members/proposals.py
@@ -5,18 +5,18 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from ..vocabulary.messages import Vote, VoteAsked
+from ..vocabulary.records import ViewProposed
+from ..vocabulary.settings import DETECTION_S
 from .membership import NEVER
-from .messages import Vote, VoteAsked
-from .records import ViewProposed
-from .settings import DETECTION_S
 from .view import rendezvous
 
 if TYPE_CHECKING:
+    from ..context import Context
+    from ..ledger.writer import Writer
+    from ..vocabulary.records import MemberInfo
     from .channels import Channels
-    from .context import Context
     from .membership import Membership
-    from .records import MemberInfo
-    from .writer import Writer
 
 TAIL_AGE_FOR_VOTES_S = 1.5
 """Most seconds since the log's tail was read when votes are asked for."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/view.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/members/view.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from .records import MemberInfo
+    from ..vocabulary.records import MemberInfo
 
 VOTES_DIVISOR = 3
 """Members a vote is needed from: one in this many, and at least one."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/descriptions.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/operator_desk/descriptions.py
@@ -4,14 +4,14 @@
 
 from typing import TYPE_CHECKING
 
-from .resources import MILLICORES_PER_PROCESSOR
+from ..vocabulary.resources import MILLICORES_PER_PROCESSOR
 
 if TYPE_CHECKING:
-    from .context import Context
-    from .fairness import Fairness
-    from .membership import Membership
-    from .pacer import Pacer
-    from .takeover import Takeover
+    from ..context import Context
+    from ..members.membership import Membership
+    from ..policy.fairness import Fairness
+    from ..policy.pacer import Pacer
+    from ..worker_owners.takeover import Takeover
 
 
 class Descriptions:
--- a/packages/jacinthloom-core/src/jacinthloom_core/operators.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/operator_desk/operators.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from .answers import ChangeAnswer, ObjectAnswer, Refusal
-from .effects import Reply
-from .operations import (
+from ..vocabulary.answers import ChangeAnswer, ObjectAnswer, Refusal
+from ..vocabulary.effects import Reply
+from ..vocabulary.operations import (
     PublishChange,
     RestartFleet,
     ShowConfiguration,
@@ -15,17 +15,17 @@
     ShowTeams,
     ShowWorkers,
 )
-from .records import ConfigurationChanged
+from ..vocabulary.records import ConfigurationChanged
 
 if TYPE_CHECKING:
-    from .context import Context
+    from ..context import Context
+    from ..ledger.log_state import Applied
+    from ..ledger.writer import Writer
+    from ..members.membership import Membership
+    from ..members.proposals import Proposals
+    from ..vocabulary.events import OperatorAsked
+    from ..vocabulary.records import MemberInfo
     from .descriptions import Descriptions
-    from .events import OperatorAsked
-    from .log_state import Applied
-    from .membership import Membership
-    from .proposals import Proposals
-    from .records import MemberInfo
-    from .writer import Writer
 
 PUBLISH_TIMEOUT_S = 10.0
 """Seconds until an operator is told that a change is not known everywhere."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/books.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/books.py
@@ -16,7 +16,7 @@
 from .speed import SpeedBook
 
 if TYPE_CHECKING:
-    from ..resources import Resources
+    from ..vocabulary.resources import Resources
     from .effects import Effect
     from .jobs import Job, Occurrence, StepRun, Task
     from .rules import Queue
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/fleet.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/fleet.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from ..resources import Resources
+from ..vocabulary.resources import Resources
 
 if TYPE_CHECKING:
     from .jobs import Task
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/rules.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/rules.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from ..resources import Resources
+from ..vocabulary.resources import Resources
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/specs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/specs.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from ..resources import Resources
+from ..vocabulary.resources import Resources
 
 
 class StepId(NamedTuple):
--- a/packages/jacinthloom-core/src/jacinthloom_core/allotments.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/policy/allotments.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from .resources import NOTHING, UNLIMITED, Resources
+from ..vocabulary.resources import NOTHING, UNLIMITED, Resources
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from .configuration import Team
+    from ..vocabulary.configuration import Team
 
 POOL = ""
 """Holder of the parts that no member may use yet."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/estimates.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/policy/estimates.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from .work import WorkSpec
+    from ..vocabulary.work import WorkSpec
 
 RATIO_FLOOR = 0.25
 """Least factor that a correction applies to a declared run time."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/fairness.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/policy/fairness.py
@@ -7,7 +7,7 @@
 
 from sortedcontainers import SortedList
 
-from .resources import NOTHING, Resources
+from ..vocabulary.resources import NOTHING, Resources
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
--- a/packages/jacinthloom-core/src/jacinthloom_core/level.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/policy/level.py
@@ -9,8 +9,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
+    from ..ledger.jobs import Job
     from .estimates import Estimates
-    from .jobs import Job
 
 HEAD_START = 1.25
 """Factor on the least rate, so that work does not pile up before its deadline."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/pacer.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/policy/pacer.py
@@ -5,17 +5,17 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from ..vocabulary.messages import JobProgress, ProgressTold
+from ..vocabulary.records import MinuteUsed
 from .level import NO_PROGRESS, LeastRateLevel, Level, Progress, list_backlog
-from .messages import JobProgress, ProgressTold
-from .records import MinuteUsed
 
 if TYPE_CHECKING:
-    from .context import Context
+    from ..context import Context
+    from ..ledger.writer import Writer
+    from ..members.membership import Membership
+    from ..vocabulary.work import WorkSpec
+    from ..worker_owners.takeover import Takeover
     from .level import LevelPolicy
-    from .membership import Membership
-    from .takeover import Takeover
-    from .work import WorkSpec
-    from .writer import Writer
 
 RECOMPUTE_S = 1.0
 """Seconds between two computations of the level."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/quotas.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/policy/quotas.py
@@ -4,17 +4,17 @@
 
 from typing import TYPE_CHECKING
 
-from .messages import AllotmentAsked
-from .records import AllotmentsMoved, TeamAmount
-from .resources import NOTHING, UNLIMITED, Resources
-from .view import rendezvous
+from ..members.view import rendezvous
+from ..vocabulary.messages import AllotmentAsked
+from ..vocabulary.records import AllotmentsMoved, TeamAmount
+from ..vocabulary.resources import NOTHING, UNLIMITED, Resources
 
 if TYPE_CHECKING:
-    from .channels import Channels
-    from .context import Context
-    from .log_state import Applied
-    from .membership import Membership
-    from .writer import Writer
+    from ..context import Context
+    from ..ledger.log_state import Applied
+    from ..ledger.writer import Writer
+    from ..members.channels import Channels
+    from ..members.membership import Membership
 
 LACKING_S = 1.0
 """Seconds for which a member counts as lacking since it last did."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/reducer.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/reducer.py
@@ -4,46 +4,46 @@
 
 from typing import TYPE_CHECKING
 
-from . import events, messages
-from .admission import Admission
-from .channels import Channels
 from .context import Context
-from .descriptions import Descriptions
-from .effects import Exit, Rejoin
-from .errors import UnknownEventError
-from .exchanges import Exchanges
-from .fairness import Fairness
-from .follow_up import FollowUp
-from .health import Health
-from .homes import Homes
-from .job_desk import JobDesk
-from .log_feed import LogFeed
-from .membership import Membership
-from .messages import Room, UsageChanged
-from .operators import Operators
-from .owner import Owner
-from .pacer import Pacer
-from .post import Post
-from .proposals import Proposals
-from .quotas import Quotas
-from .records import MemberInfo, TeamAmount
-from .requests import Requests
-from .resources import NOTHING
-from .settings import STATUS_INTERVAL_S
-from .snapshots import Snapshots
-from .takeover import Takeover
-from .upkeep import Upkeep
-from .work import is_request
-from .writer import Writer
+from .job_homes.admission import Admission
+from .job_homes.homes import Homes
+from .job_homes.job_desk import JobDesk
+from .job_homes.requests import Requests
+from .ledger.log_feed import LogFeed
+from .ledger.snapshots import Snapshots
+from .ledger.writer import Writer
+from .members.channels import Channels
+from .members.membership import Membership
+from .members.post import Post
+from .members.proposals import Proposals
+from .operator_desk.descriptions import Descriptions
+from .operator_desk.operators import Operators
+from .policy.fairness import Fairness
+from .policy.pacer import Pacer
+from .policy.quotas import Quotas
+from .vocabulary import events, messages
+from .vocabulary.effects import Exit, Rejoin
+from .vocabulary.errors import UnknownEventError
+from .vocabulary.messages import Room, UsageChanged
+from .vocabulary.records import MemberInfo, TeamAmount
+from .vocabulary.resources import NOTHING
+from .vocabulary.settings import STATUS_INTERVAL_S
+from .vocabulary.work import is_request
+from .worker_owners.exchanges import Exchanges
+from .worker_owners.follow_up import FollowUp
+from .worker_owners.health import Health
+from .worker_owners.owner import Owner
+from .worker_owners.takeover import Takeover
+from .worker_owners.upkeep import Upkeep
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from .effects import Effect
-    from .level import LevelPolicy
-    from .messages import Packet
-    from .resources import Resources
-    from .settings import MemberSettings
+    from .policy.level import LevelPolicy
+    from .vocabulary.effects import Effect
+    from .vocabulary.messages import Packet
+    from .vocabulary.resources import Resources
+    from .vocabulary.settings import MemberSettings
 
 SHAPES_TOLD = 8
 """Different worker capacities told to peers."""
--- /dev/null
+++ b/packages/jacinthloom-core/src/jacinthloom_core/vocabulary/__init__.py
@@ -0,0 +1,4 @@
+"""Types that all rooms share: amounts, work, records, messages, events and effects.
+
+Imports no other room.
+"""
--- a/packages/jacinthloom-core/src/jacinthloom_core/exchanges.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/worker_owners/exchanges.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from .effects import Exchange
-from .settings import (
+from ..vocabulary.effects import Exchange
+from ..vocabulary.settings import (
     BATCH_LEASE_S,
     CLOCK_FACTOR,
     START_WINDOW_S,
@@ -14,10 +14,10 @@
 )
 
 if TYPE_CHECKING:
-    from .context import Context
-    from .events import ExchangeAnswered, ExchangeFailed
-    from .membership import Membership
-    from .work import Grant
+    from ..context import Context
+    from ..members.membership import Membership
+    from ..vocabulary.events import ExchangeAnswered, ExchangeFailed
+    from ..vocabulary.work import Grant
     from .workers import Attempt, Worker
 
 RENEWAL_INTERVAL_S = BATCH_LEASE_S / 3
--- a/packages/jacinthloom-core/src/jacinthloom_core/follow_up.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/worker_owners/follow_up.py
@@ -4,24 +4,24 @@
 
 from typing import TYPE_CHECKING
 
-from .messages import AttemptOver, AttemptStarted
+from ..vocabulary.messages import AttemptOver, AttemptStarted
 from .takeover import LOST_WORKER_S
 
 if TYPE_CHECKING:
-    from .context import Context
-    from .events import (
+    from ..context import Context
+    from ..members.membership import Membership
+    from ..members.post import Post
+    from ..vocabulary.events import (
         CompletionsRead,
         ExchangeAnswered,
         ExchangeFailed,
         ReportFailed,
         WorkerReported,
     )
+    from ..vocabulary.reports import Completion, WorkerReport
     from .exchanges import Exchanges
     from .health import Health
-    from .membership import Membership
     from .owner import Owner
-    from .post import Post
-    from .reports import Completion, WorkerReport
     from .takeover import Takeover
     from .workers import Attempt, Worker
 
--- a/packages/jacinthloom-core/src/jacinthloom_core/grant_queue.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/worker_owners/grant_queue.py
@@ -10,9 +10,9 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from .context import Context
-    from .fairness import Fairness
-    from .work import Grant, WorkSpec
+    from ..context import Context
+    from ..policy.fairness import Fairness
+    from ..vocabulary.work import Grant, WorkSpec
 
 OTHER_VIEW = "granted under another view"
 """Reason for which a grant is given back when the views differ."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/health.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/worker_owners/health.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from .context import Context
+    from ..context import Context
 
 FAILING_JOBS = 3
 """Different jobs that must fail in a row before a worker is set aside."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/owner.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/worker_owners/owner.py
@@ -4,26 +4,26 @@
 
 from typing import TYPE_CHECKING
 
+from ..vocabulary.messages import AttemptHeld, GrantReturned
+from ..vocabulary.resources import NOTHING
 from .grant_queue import NO_ROOM, OTHER_VIEW, GrantQueue
-from .messages import AttemptHeld, GrantReturned
 from .placement import POLICY_BY_KIND
 from .reserve import RequestReserve
-from .resources import NOTHING
 from .workers import Attempt
 
 if TYPE_CHECKING:
-    from .context import Context
+    from ..context import Context
+    from ..members.membership import Membership
+    from ..members.post import Post
+    from ..policy.fairness import Fairness
+    from ..policy.pacer import Pacer
+    from ..policy.quotas import Quotas
+    from ..vocabulary.messages import GangReleased, TasksGranted
+    from ..vocabulary.resources import Resources
+    from ..vocabulary.work import Grant, WorkSpec
     from .exchanges import Exchanges
-    from .fairness import Fairness
     from .health import Health
-    from .membership import Membership
-    from .messages import GangReleased, TasksGranted
-    from .pacer import Pacer
-    from .post import Post
-    from .quotas import Quotas
-    from .resources import Resources
     from .takeover import Takeover
-    from .work import Grant, WorkSpec
     from .workers import Worker
 
 FAILURES_PER_PASS = 16
--- a/packages/jacinthloom-core/src/jacinthloom_core/reserve.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/worker_owners/reserve.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .resources import NOTHING, Resources
+from ..vocabulary.resources import NOTHING, Resources
 
 HALF_LIFE_S = 600.0
 """Seconds in which a peak of requests loses half its weight."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/takeover.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/worker_owners/takeover.py
@@ -4,23 +4,28 @@
 
 from typing import TYPE_CHECKING
 
-from .effects import AskReport, UnwatchWorker, WatchWorker
-from .records import TeamAmount, WorkerReconciled
-from .reports import HostInfo, rack_of
-from .resources import NOTHING, Resources
-from .settings import CLOCK_FACTOR, LONGEST_LEASE_S, WALL_SKEW_S, lease_seconds
+from ..vocabulary.effects import AskReport, UnwatchWorker, WatchWorker
+from ..vocabulary.records import TeamAmount, WorkerReconciled
+from ..vocabulary.reports import HostInfo, rack_of
+from ..vocabulary.resources import NOTHING, Resources
+from ..vocabulary.settings import (
+    CLOCK_FACTOR,
+    LONGEST_LEASE_S,
+    WALL_SKEW_S,
+    lease_seconds,
+)
 from .workers import Attempt, Worker, WorkerIndex
 
 if TYPE_CHECKING:
-    from .context import Context
-    from .events import HostsListed, ReportFailed, WorkerReported
-    from .fairness import Fairness
+    from ..context import Context
+    from ..ledger.log_state import Applied
+    from ..ledger.writer import Writer
+    from ..members.membership import Membership
+    from ..policy.fairness import Fairness
+    from ..policy.quotas import Quotas
+    from ..vocabulary.events import HostsListed, ReportFailed, WorkerReported
+    from ..vocabulary.reports import RunningTask, WorkerReport
     from .health import Health
-    from .log_state import Applied
-    from .membership import Membership
-    from .quotas import Quotas
-    from .reports import RunningTask, WorkerReport
-    from .writer import Writer
 
 REPORT_INTERVAL_S = 1.0
 """Seconds between two questions to a worker that is not open."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/upkeep.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/worker_owners/upkeep.py
@@ -4,19 +4,19 @@
 
 from typing import TYPE_CHECKING
 
-from .fairness import Demand, compute_entitlements
-from .resources import NOTHING
-from .work import is_request
+from ..policy.fairness import Demand, compute_entitlements
+from ..vocabulary.resources import NOTHING
+from ..vocabulary.work import is_request
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from .context import Context
-    from .fairness import Fairness
+    from ..context import Context
+    from ..policy.fairness import Fairness
+    from ..policy.quotas import Quotas
+    from ..vocabulary.work import Grant
     from .owner import Owner
-    from .quotas import Quotas
     from .takeover import Takeover
-    from .work import Grant
     from .workers import Attempt, Worker
 
 RECLAIM_INTERVAL_S = 0.5
--- a/packages/jacinthloom-core/src/jacinthloom_core/workers.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/worker_owners/workers.py
@@ -7,13 +7,13 @@
 
 from sortedcontainers import SortedList
 
-from .resources import NOTHING, Resources
+from ..vocabulary.resources import NOTHING, Resources
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from .reports import HostInfo
-    from .work import Grant
+    from ..vocabulary.reports import HostInfo
+    from ..vocabulary.work import Grant
 
 WorkerPhase = Literal["waiting", "reconciling", "open", "unreachable"]
 """How far this member has got with a worker.
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/shapes.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/shapes.py
@@ -13,7 +13,7 @@
 from jacinthloom_core.planner.fleet import WorkerEntry
 from jacinthloom_core.planner.rules import AdvicePolicy, Queue, Rules, Tenant
 from jacinthloom_core.planner.specs import JobSpec, StepId, StepSpec, TaskId
-from jacinthloom_core.resources import Resources
+from jacinthloom_core.vocabulary.resources import Resources
 
 from .errors import ShapeError
 
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/shell.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/shell.py
@@ -8,9 +8,10 @@
 import time
 from typing import TYPE_CHECKING
 
-from jacinthloom_core import Member, events
-from jacinthloom_core.answers import Refusal
-from jacinthloom_core.effects import (
+from jacinthloom_core import Member
+from jacinthloom_core.vocabulary import events
+from jacinthloom_core.vocabulary.answers import Refusal
+from jacinthloom_core.vocabulary.effects import (
     AppendBatch,
     AskReport,
     Exchange,
@@ -33,10 +34,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
-    from jacinthloom_core.answers import Answer
-    from jacinthloom_core.effects import Effect
-    from jacinthloom_core.messages import Packet
-    from jacinthloom_core.settings import MemberSettings
+    from jacinthloom_core.vocabulary.answers import Answer
+    from jacinthloom_core.vocabulary.effects import Effect
+    from jacinthloom_core.vocabulary.messages import Packet
+    from jacinthloom_core.vocabulary.settings import MemberSettings
     from jacinthloom_wire.settings_file import ProcessSettings
 
     from .metrics import Metrics
--- a/packages/jacinthloom-wire/src/jacinthloom_wire/bodies.py
+++ b/packages/jacinthloom-wire/src/jacinthloom_wire/bodies.py
@@ -7,8 +7,8 @@
 from typing import Any
 
 import voluptuous as vol
-from jacinthloom_core import codec
-from jacinthloom_core.answers import (
+from jacinthloom_core.ledger import codec
+from jacinthloom_core.vocabulary.answers import (
     Answer,
     ChangeAnswer,
     JobAnswer,
@@ -16,10 +16,10 @@
     Refusal,
     RequestAnswer,
 )
-from jacinthloom_core.configuration import Change
-from jacinthloom_core.operations import PublishChange
-from jacinthloom_core.resources import MILLICORES_PER_PROCESSOR, Resources
-from jacinthloom_core.work import WorkSpec
+from jacinthloom_core.vocabulary.configuration import Change
+from jacinthloom_core.vocabulary.operations import PublishChange
+from jacinthloom_core.vocabulary.resources import MILLICORES_PER_PROCESSOR, Resources
+from jacinthloom_core.vocabulary.work import WorkSpec
 
 from . import checks
 from .checks import CheckError, Problem
--- a/packages/jacinthloom-wire/src/jacinthloom_wire/configuration_file.py
+++ b/packages/jacinthloom-wire/src/jacinthloom_wire/configuration_file.py
@@ -7,8 +7,12 @@
 from typing import Any
 
 import voluptuous as vol
-from jacinthloom_core.configuration import ClassesAndTeams, Team, WorkClass
-from jacinthloom_core.resources import MILLICORES_PER_PROCESSOR, UNLIMITED, Resources
+from jacinthloom_core.vocabulary.configuration import ClassesAndTeams, Team, WorkClass
+from jacinthloom_core.vocabulary.resources import (
+    MILLICORES_PER_PROCESSOR,
+    UNLIMITED,
+    Resources,
+)
 
 from . import checks
 from .checks import CheckError, Problem
--- a/packages/jacinthloom-wire/src/jacinthloom_wire/packets.py
+++ b/packages/jacinthloom-wire/src/jacinthloom_wire/packets.py
@@ -5,9 +5,9 @@
 from typing import Any
 
 import msgpack
-from jacinthloom_core import codec
-from jacinthloom_core.messages import Packet
-from jacinthloom_core.records import Batch
+from jacinthloom_core.ledger import codec
+from jacinthloom_core.vocabulary.messages import Packet
+from jacinthloom_core.vocabulary.records import Batch
 
 MAX_PACKET_BYTES = 8 * 1024 * 1024
 """Largest packet that a stream accepts."""
--- a/packages/jacinthloom-wire/src/jacinthloom_wire/worker_client.py
+++ b/packages/jacinthloom-wire/src/jacinthloom_wire/worker_client.py
@@ -6,15 +6,15 @@
 from dataclasses import asdict, dataclass
 from typing import TYPE_CHECKING, Any
 
-from jacinthloom_core.reports import (
+from jacinthloom_core.vocabulary.reports import (
     Completion,
     RunningTask,
     StartResult,
     TaskUse,
     WorkerReport,
 )
-from jacinthloom_core.resources import Resources
-from jacinthloom_core.settings import lease_seconds
+from jacinthloom_core.vocabulary.resources import Resources
+from jacinthloom_core.vocabulary.settings import lease_seconds
 
 from .errors import FormatError
 from .http_client import HttpClient
@@ -22,8 +22,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from jacinthloom_core.effects import Exchange
-    from jacinthloom_core.work import Grant
+    from jacinthloom_core.vocabulary.effects import Exchange
+    from jacinthloom_core.vocabulary.work import Grant
 
 EXCHANGE_TIMEOUT_S = 3.0
 """Seconds for an exchange."""
--- a/testkit/planning/worker.py
+++ b/testkit/planning/worker.py
@@ -17,7 +17,7 @@
 
     from jacinthloom_core.planner.effects import Hold, Start, Stop
     from jacinthloom_core.planner.specs import TaskId
-    from jacinthloom_core.resources import Resources
+    from jacinthloom_core.vocabulary.resources import Resources
 
     from .clock import VirtualClock
     from .judge import Judge
--- a/testkit/planning/world.py
+++ b/testkit/planning/world.py
@@ -15,7 +15,7 @@
 from jacinthloom_core.planner.planner import TICK_S, Planner
 from jacinthloom_core.planner.rules import AdvicePolicy, Queue, Rules, Tenant
 from jacinthloom_core.planner.specs import JobSpec, StepSpec
-from jacinthloom_core.resources import Resources
+from jacinthloom_core.vocabulary.resources import Resources
 
 from .clock import VirtualClock
 from .judge import Judge
--- a/testkit/virtual/broken.py
+++ b/testkit/virtual/broken.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING, Any
 
 from jacinthloom_core import Member
-from jacinthloom_core.messages import AttemptOver
-from jacinthloom_core.resources import NOTHING
+from jacinthloom_core.vocabulary.messages import AttemptOver
+from jacinthloom_core.vocabulary.resources import NOTHING
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/testkit/virtual/invariants.py
+++ b/testkit/virtual/invariants.py
@@ -5,15 +5,15 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from jacinthloom_core.answers import Refusal
-from jacinthloom_core.configuration import Configuration
-from jacinthloom_core.log_state import LogState
-from jacinthloom_core.resources import NOTHING, Resources
+from jacinthloom_core.ledger.log_state import LogState
+from jacinthloom_core.vocabulary.answers import Refusal
+from jacinthloom_core.vocabulary.configuration import Configuration
+from jacinthloom_core.vocabulary.resources import NOTHING, Resources
 
 if TYPE_CHECKING:
-    from jacinthloom_core.answers import Answer
-    from jacinthloom_core.records import LogEntry
-    from jacinthloom_core.work import Grant
+    from jacinthloom_core.vocabulary.answers import Answer
+    from jacinthloom_core.vocabulary.records import LogEntry
+    from jacinthloom_core.vocabulary.work import Grant
 
     from .platform import VirtualWorker
     from .process import VirtualProcess
--- a/testkit/virtual/platform.py
+++ b/testkit/virtual/platform.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from jacinthloom_core.records import LogEntry
-from jacinthloom_core.reports import (
+from jacinthloom_core.vocabulary.records import LogEntry
+from jacinthloom_core.vocabulary.reports import (
     Completion,
     HostInfo,
     RunningTask,
@@ -14,13 +14,13 @@
     TaskUse,
     WorkerReport,
 )
-from jacinthloom_core.resources import NOTHING, Resources
-from jacinthloom_core.settings import lease_seconds
+from jacinthloom_core.vocabulary.resources import NOTHING, Resources
+from jacinthloom_core.vocabulary.settings import lease_seconds
 
 if TYPE_CHECKING:
-    from jacinthloom_core.effects import Exchange
-    from jacinthloom_core.records import Batch
-    from jacinthloom_core.work import Grant
+    from jacinthloom_core.vocabulary.effects import Exchange
+    from jacinthloom_core.vocabulary.records import Batch
+    from jacinthloom_core.vocabulary.work import Grant
 
 
 class VirtualLog:
--- a/testkit/virtual/schedule.py
+++ b/testkit/virtual/schedule.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from jacinthloom_core.configuration import (
+from jacinthloom_core.vocabulary.configuration import (
     ClassesAndTeams,
     KeyWithdrawal,
     Team,
@@ -12,7 +12,7 @@
     ZoneIn,
     ZoneOut,
 )
-from jacinthloom_core.resources import UNLIMITED, Resources
+from jacinthloom_core.vocabulary.resources import UNLIMITED, Resources
 
 from .faults import Faults
 from .invariants import InvariantError
--- a/tests/golden.py
+++ b/tests/golden.py
@@ -10,10 +10,15 @@
 import sys
 from pathlib import Path
 
-from jacinthloom_core.configuration import ClassesAndTeams, Team, ZoneOut
-from jacinthloom_core.effects import SendPacket
-from jacinthloom_core.events import HostsListed, LogRead, PacketReceived, Ticked
-from jacinthloom_core.messages import Assurance, AssuranceAsked
+from jacinthloom_core.vocabulary.configuration import ClassesAndTeams, Team, ZoneOut
+from jacinthloom_core.vocabulary.effects import SendPacket
+from jacinthloom_core.vocabulary.events import (
+    HostsListed,
+    LogRead,
+    PacketReceived,
+    Ticked,
+)
+from jacinthloom_core.vocabulary.messages import Assurance, AssuranceAsked
 
 from testkit.virtual import World
 from testkit.virtual.schedule import CHECK, CLASSES, LOOKUP, REBUILD
--- a/tests/planner/test_asking.py
+++ b/tests/planner/test_asking.py
@@ -11,7 +11,7 @@
 from jacinthloom_core.planner.fleet import Worker
 from jacinthloom_core.planner.jobs import Job
 from jacinthloom_core.planner.specs import JobSpec, StepSpec
-from jacinthloom_core.resources import Resources
+from jacinthloom_core.vocabulary.resources import Resources
 
 from .test_takeover import ENTRY
 
--- a/tests/planner/test_gang_room.py
+++ b/tests/planner/test_gang_room.py
@@ -8,7 +8,7 @@
 from jacinthloom_core.planner import effects, events
 from jacinthloom_core.planner.rules import AdvicePolicy, Queue, Rules, Tenant
 from jacinthloom_core.planner.specs import JobSpec, StepSpec
-from jacinthloom_core.resources import Resources
+from jacinthloom_core.vocabulary.resources import Resources
 
 from .test_takeover import ENTRY, Store, find_starts, make_planner, run_batches
 
--- a/tests/planner/test_sharing.py
+++ b/tests/planner/test_sharing.py
@@ -8,7 +8,7 @@
 from jacinthloom_core.planner.jobs import Job
 from jacinthloom_core.planner.sharing import may_share
 from jacinthloom_core.planner.specs import JobSpec, StepSpec
-from jacinthloom_core.resources import Resources
+from jacinthloom_core.vocabulary.resources import Resources
 
 SIZE = Resources(100, 100)
 SERVING = StepSpec(1, SIZE, lasting=True, target_s=0.05)
--- a/tests/planner/test_slow_store.py
+++ b/tests/planner/test_slow_store.py
@@ -9,7 +9,7 @@
 from jacinthloom_core.planner.planner import Planner
 from jacinthloom_core.planner.rules import AdvicePolicy, Queue, Rules, Tenant
 from jacinthloom_core.planner.specs import JobSpec, StepSpec
-from jacinthloom_core.resources import Resources
+from jacinthloom_core.vocabulary.resources import Resources
 
 from .test_takeover import ENTRY, answer_hold
 
--- a/tests/planner/test_specs.py
+++ b/tests/planner/test_specs.py
@@ -13,7 +13,7 @@
     StepSpec,
     check_job,
 )
-from jacinthloom_core.resources import Resources
+from jacinthloom_core.vocabulary.resources import Resources
 
 STEP = StepSpec(2, Resources(100, 100), 1.0)
 JOB = JobSpec("d" * 16, "q", "t", "text", (STEP, replace(STEP, after=(0,))), 0)
--- a/tests/planner/test_takeover.py
+++ b/tests/planner/test_takeover.py
@@ -11,7 +11,7 @@
 from jacinthloom_core.planner.planner import Planner
 from jacinthloom_core.planner.rules import Queue, Rules, Tenant
 from jacinthloom_core.planner.specs import JobSpec, StepSpec, TaskId
-from jacinthloom_core.resources import Resources
+from jacinthloom_core.vocabulary.resources import Resources
 
 RULES = Rules(
     1,
--- a/tests/test_broken_rules.py
+++ b/tests/test_broken_rules.py
@@ -7,11 +7,12 @@
 from dataclasses import dataclass, replace
 from unittest import mock
 
-from jacinthloom_core import Member, MemberSettings, log_feed
-from jacinthloom_core.configuration import ZoneOut
-from jacinthloom_core.messages import AllotmentAsked
-from jacinthloom_core.records import TeamAmount, ViewProposed
-from jacinthloom_core.resources import Resources
+from jacinthloom_core import Member, MemberSettings
+from jacinthloom_core.ledger import log_feed
+from jacinthloom_core.vocabulary.configuration import ZoneOut
+from jacinthloom_core.vocabulary.messages import AllotmentAsked
+from jacinthloom_core.vocabulary.records import TeamAmount, ViewProposed
+from jacinthloom_core.vocabulary.resources import Resources
 
 from testkit.virtual import Faults, InvariantError, World
 from testkit.virtual.broken import BREAKERS, make_broken
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -4,17 +4,17 @@
 
 import unittest
 
-from jacinthloom_core.allotments import POOL, Allotments
-from jacinthloom_core.configuration import Team, WorkClass
 from jacinthloom_core.context import Context
-from jacinthloom_core.estimates import Estimates
-from jacinthloom_core.fairness import Demand, Fairness, compute_entitlements
-from jacinthloom_core.health import FAILING_JOBS, Health
-from jacinthloom_core.level import HEAD_START, Backlog, LeastRateLevel
-from jacinthloom_core.resources import NOTHING, UNLIMITED, Resources
-from jacinthloom_core.retries import compute_backoff
-from jacinthloom_core.settings import MemberSettings
-from jacinthloom_core.work import WorkSpec
+from jacinthloom_core.job_homes.retries import compute_backoff
+from jacinthloom_core.policy.allotments import POOL, Allotments
+from jacinthloom_core.policy.estimates import Estimates
+from jacinthloom_core.policy.fairness import Demand, Fairness, compute_entitlements
+from jacinthloom_core.policy.level import HEAD_START, Backlog, LeastRateLevel
+from jacinthloom_core.vocabulary.configuration import Team, WorkClass
+from jacinthloom_core.vocabulary.resources import NOTHING, UNLIMITED, Resources
+from jacinthloom_core.vocabulary.settings import MemberSettings
+from jacinthloom_core.vocabulary.work import WorkSpec
+from jacinthloom_core.worker_owners.health import FAILING_JOBS, Health
 
 HOUR = 3600.0
 
--- a/tests/test_process_faults.py
+++ b/tests/test_process_faults.py
@@ -7,8 +7,8 @@
 import time
 import unittest
 
-from jacinthloom_core import codec
-from jacinthloom_core.configuration import Change, KeyWithdrawal, ZoneOut
+from jacinthloom_core.ledger import codec
+from jacinthloom_core.vocabulary.configuration import Change, KeyWithdrawal, ZoneOut
 
 from testkit.cluster import Cluster, Shape
 from tests.test_thin_path import (
--- /dev/null
+++ b/tests/test_rooms.py
@@ -0,0 +1,76 @@
+"""The rooms of the core import each other in one direction only."""
+
+from __future__ import annotations
+
+import ast
+import unittest
+from pathlib import Path
+
+import jacinthloom_core
+
+CORE = Path(jacinthloom_core.__file__).parent
+
+ORDER = (
+    "vocabulary",
+    "members",
+    "policy",
+    "ledger",
+    "context",
+    "worker_owners",
+    "job_homes",
+    "operator_desk",
+    "reducer",
+)
+"""Rooms, and the two modules beside them; each imports only those before it."""
+
+ALLOWED_BY_ROOM = {
+    name: frozenset(ORDER[:number]) for number, name in enumerate(ORDER)
+} | {"planner": frozenset({"vocabulary"})}
+
+
+def find_imports(path: Path) -> set[str]:
+    """Return the rooms that a module imports when it runs, not only for types."""
+    parts = path.relative_to(CORE).parts
+    tree = ast.parse(path.read_text())
+    for_types = {
+        inner
+        for node in ast.walk(tree)
+        if isinstance(node, ast.If) and ast.unparse(node.test) == "TYPE_CHECKING"
+        for inner in ast.walk(node)
+    }
+    rooms = set()
+    for node in ast.walk(tree):
+        if not isinstance(node, ast.ImportFrom) or not node.level or node in for_types:
+            continue
+        base = parts[: len(parts) - node.level]
+        names = [node.module] if node.module else [a.name for a in node.names]
+        rooms |= {(*base, *(name or "").split("."))[0] for name in names}
+    return rooms
+
+
+class RoomsTest(unittest.TestCase):
+    def test_every_module_has_a_room(self) -> None:
+        beside = {path.stem for path in CORE.glob("*.py")} - {"__init__"}
+        self.assertEqual(beside, {"context", "reducer"})
+
+    def test_rooms_import_only_those_before_them(self) -> None:
+        for path in sorted(CORE.rglob("*.py")):
+            parts = path.relative_to(CORE).parts
+            room = parts[0].removesuffix(".py")
+            if room == "__init__":
+                continue
+            allowed = ALLOWED_BY_ROOM[room] | {room}
+            with self.subTest(module="/".join(parts)):
+                self.assertLessEqual(find_imports(path), allowed)
+
+    def test_every_room_says_what_it_holds(self) -> None:
+        for folder in sorted(path for path in CORE.iterdir() if path.is_dir()):
+            if folder.name == "__pycache__":
+                continue
+            text = (folder / "__init__.py").read_text()
+            with self.subTest(room=folder.name):
+                self.assertIn("mport", (ast.get_docstring(ast.parse(text)) or ""))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -6,9 +6,9 @@
 from functools import partial
 from unittest import mock
 
-from jacinthloom_core import codec, snapshots
-from jacinthloom_core.image import StateImage, load_image, make_image
-from jacinthloom_core.log_state import LogState
+from jacinthloom_core.ledger import codec, snapshots
+from jacinthloom_core.ledger.image import StateImage, load_image, make_image
+from jacinthloom_core.ledger.log_state import LogState
 
 from testkit.virtual import Faults, World
 from testkit.virtual.schedule import Schedule
--- a/tests/test_thin_path.py
+++ b/tests/test_thin_path.py
@@ -4,8 +4,8 @@
 
 import unittest
 
-from jacinthloom_core import codec
-from jacinthloom_core.configuration import (
+from jacinthloom_core.ledger import codec
+from jacinthloom_core.vocabulary.configuration import (
     Change,
     ClassesAndTeams,
     KeyGrant,
