Restart services however they end, and place them first; keep talking tasks on a rack

Ruled out: counting restarts as attempts (tasks that last have no limit).

Before: three tests of test_lasting and test_placement fail; after: they pass.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/ends.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/ends.py
@@ -50,7 +50,7 @@
         )
         if row.checkpoint:
             task.checkpoint = row.checkpoint
-        if row.how is EndKind.DONE:
+        if row.how is EndKind.DONE and not task.step.spec.lasting:
             worker.fail_streak = 0
             self._learn_times(task, worker, now)
             self._books.release(task)
@@ -58,6 +58,8 @@
         elif row.how is EndKind.FAILED:
             self._count_failure(task, worker, now)
             self._books.requeue(task)
+        elif row.how is EndKind.DONE:
+            self._books.requeue(task)  # one that lasts runs until its job is cancelled
         else:
             self._books.requeue(task)
             if row.how is not EndKind.BROKEN:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/order.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/order.py
@@ -15,6 +15,9 @@
 LATE_FACTOR = 3.0
 """Multiple of the objective after which a job earns nothing; from the users."""
 
+LASTING_PRIORITY = -1
+"""Rank of tasks that serve users until their job is cancelled: before every queue."""
+
 Rank = tuple[int, int, float]
 
 
@@ -39,6 +42,8 @@
         """Return lateness, priority and latest start in Unix seconds."""
         if not step.objective_s:
             self._set_objective(step, queue)
+        if step.spec.lasting:
+            return (0, LASTING_PRIORITY, step.due_s)
         age_s = now_ms / 1000 - step.due_s
         lateness = 0
         if age_s > step.objective_s:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/placement.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/placement.py
@@ -57,11 +57,27 @@
     return worker.entry.rack if worker.entry else ""
 
 
+def _find_home_rack(step: StepRun, workers: list[Worker]) -> str:
+    """Return the rack that tasks of a step should run on; empty if any will do."""
+    spec = step.spec
+    if spec.data_rack or not spec.same_rack:
+        return spec.data_rack
+    present = {task.worker for task in step.tasks if task.worker}
+    room_by_rack: Counter[str] = Counter()
+    for worker in workers:
+        if worker.id in present:
+            return _rack(worker)
+        room_by_rack[_rack(worker)] += worker.count_room(spec.size, spec.fills)
+    return max(sorted(room_by_rack), key=lambda rack: room_by_rack[rack], default="")
+
+
 class _FreeRoom:
     """Room of workers while one step is placed; the best worker comes first."""
 
     def __init__(self, step: StepRun, workers: Iterable[Worker]) -> None:
+        workers = list(workers)
         self._step = step
+        self._home_rack = _find_home_rack(step, workers)
         spec = step.spec
         present: Counter[str] = Counter()
         if spec.most_per_worker:
@@ -97,7 +113,7 @@
 
     def _score(self, worker: Worker, room: int) -> tuple[float, ...]:
         spec = self._step.spec
-        is_far = int(bool(spec.data_rack) and _rack(worker) != spec.data_rack)
+        is_far = int(bool(self._home_rack) and _rack(worker) != self._home_rack)
         spread = -room if spec.lasting else room
         is_slow = worker.slowness >= SLOW
         pace = round(worker.slowness, 1) if spec.estimate_s < SHORT_S else 0.0
