Repeat a start after 0.3 s; abdicate at the second certain refusal

A start is idempotent, so it is sent again after 0.35 s; a worker that leaves two starts unanswered gets no work until it lists its runs. And a planner that the store turned away learnt so only from its next renewal: a refused append now hurries the renewal, and two refused renewals are enough.

Ruled out: the same for an order that may have been done in the store, which a slow store would trigger.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/fleet.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/fleet.py
@@ -57,7 +57,7 @@
     :param sent_cursor: the cursor that the hold in flight carries; 0 for none
     :param hold_due: time at which the next hold may be sent
     :param clock_ms: the worker's clock, at the steady time ``clock_at``
-    :param is_suspect: whether a start got no answer since it last listed its runs
+    :param is_suspect: whether starts got no answer since it last listed its runs
     :param foreign: runs that it lists and that were not placed there
     """
 
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/runs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/runs.py
@@ -33,7 +33,7 @@
 HOLD_RETRY_S = 0.3
 """Seconds until a hold that failed is repeated."""
 
-START_RETRY_S = 0.25
+START_RETRY_S = 0.05
 """Seconds until a start without an answer is repeated: it is idempotent."""
 
 
@@ -248,7 +248,8 @@
             on=worker.id,
             outcome=outcome.value,
         )
-        if outcome in (StartOutcome.UNKNOWN, StartOutcome.NOT_SENT):
+        is_silent = outcome is StartOutcome.UNKNOWN and task.is_unsure
+        if is_silent or outcome is StartOutcome.NOT_SENT:
             worker.is_suspect = True
         if outcome is StartOutcome.OLD:
             task.barred_at = event.now
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/elections.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/elections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from typing import TYPE_CHECKING
 
@@ -39,8 +40,8 @@
 store answers within half a second."""
 
 
-REFUSED_ABDICATE_AFTER_S = 0.3
-"""The same for a store that says each time that it did nothing: two tries more."""
+REFUSED_ABDICATE_AFTER_S = 0.14
+"""The same for a store that says each time that it did nothing: one try more."""
 
 
 class ElectionFollower:
@@ -60,6 +61,7 @@
         self._told: Term | None = None
         self._position = 0
         self._renews = False
+        self._hurry = asyncio.Event()
         self._is_reachable = True
         self.may_stand = True
         """Whether this member may claim."""
@@ -145,7 +147,18 @@
             is_unsure = False
             renewed_at = sent_at
             self._election.on_renewed(offset, sent_at)
-            await asyncio.sleep(max(0.0, sent_at + RENEW_S - time.monotonic()))
+            await self._pause(max(0.0, sent_at + RENEW_S - time.monotonic()))
+
+    async def _pause(self, seconds: float) -> None:
+        """Wait until the next renewal is due, or somebody hurries it."""
+        self._hurry.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._hurry.wait()
+
+    def renew_now(self) -> None:
+        """Renew at once: the store has refused something else that was written."""
+        self._hurry.set()
 
     def stop_renewing(self) -> None:
         """Renew no longer; others may claim after a while."""
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_host.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_host.py
@@ -63,8 +63,10 @@
         ask_advice: Callable[[effects.AskAdvice], None],
         has_authority: Callable[[], bool],
         append_latency: Latency,
+        on_refused: Callable[[], None],
     ) -> None:
         self._append_latency = append_latency
+        self._on_refused = on_refused
         self._store = store
         self._planner = Planner(settings)
         self._term = settings.term
@@ -267,6 +269,7 @@
             producer = Producer(topics.PRODUCER, self._term, self._appended + 1)
             outcome = await self._append_until_known(data, producer)
             if outcome is _Append.REFUSED:
+                self._on_refused()
                 self.handle(events.BatchRefused(time.monotonic(), store.number))
             if outcome is not _Append.STORED:
                 return
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
@@ -218,6 +218,7 @@
             self._ask_advice,
             self._has_authority,
             self._append_latency,
+            self._elections.renew_now,
         )
         self._host = host
         self._planning_since = time.monotonic()
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/worker_client.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/worker_client.py
@@ -21,6 +21,9 @@
 ORDER_TIMEOUT_S = 0.8
 """Seconds for an order: workers answer within milliseconds unless they are cut off."""
 
+START_TIMEOUT_S = 0.3
+"""Seconds for a start: it is idempotent, and sent again sooner than other orders."""
+
 KEPT_CONNECTIONS = 16
 """Idle connections kept for a worker: the starts that one batch orders on it."""
 
@@ -106,7 +109,7 @@
         if start.ticket:
             body["ticket"] = start.ticket
         try:
-            response = await self._post("/run-start", body, ORDER_TIMEOUT_S)
+            response = await self._post("/run-start", body, START_TIMEOUT_S)
         except UnavailableError as error:
             return StartOutcome.UNKNOWN if error.is_unknown else StartOutcome.NOT_SENT
         if response.status == 409:
