Let a planner ask the members it knew for its successor

It could not read the new term in the store, and asked nobody: members learn of each other from the planner, which was itself. It now remembers who was connected to it. A call whose time is over is refused with that reason, not with "there is no planner now".

--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/front.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/front.py
@@ -109,6 +109,10 @@
         The store remembers what a planner accepted, so a call may be repeated.
         """
         deadline = time.monotonic() + budget_s - ANSWER_MARGIN_S
+        if deadline <= time.monotonic():
+            return messages.Answer(
+                0, 503, "the time of the call is over", RETRY_AFTER_S
+            )
         was_sent = False
         while (left := deadline - time.monotonic()) > 0:
             wait_s = left if was_sent else min(left, PLANNER_WAIT_S)
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_link.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_link.py
@@ -78,6 +78,14 @@
         if term is not None and term.member != self._member:
             self._dialler = asyncio.create_task(self._dial(term))
 
+    def set_peers(self, addresses: tuple[str, ...]) -> None:
+        """Take over where other members can be asked for the newest term.
+
+        A planner learns them from the streams that it takes: once it is cut off from
+        the store, nothing else tells it of its successor.
+        """
+        self._peers = addresses
+
     def set_local(self, host: PlannerHost | None) -> None:
         """Call the planner in this process, or no longer."""
         self._local = host
@@ -207,7 +215,7 @@
                 elif isinstance(message, messages.Answer):
                     self._on_answer(message)
                 elif isinstance(message, messages.Members):
-                    self._peers = message.addresses
+                    self.set_peers(message.addresses)
                     self._election.largest_processors = message.largest_processors
                 elif isinstance(message, messages.AdviceOrder):
                     self._spawn_advice(message)
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_server.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_server.py
@@ -10,6 +10,8 @@
 from .streams import CONNECT_TIMEOUT_S, PING_S, SILENCE_S
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from jacinthloom_core.planner.election import Election
 
     from .planner_host import PlannerHost
@@ -24,8 +26,11 @@
 class PlannerServer:
     """Take streams from members for the planner of this process."""
 
-    def __init__(self, election: Election) -> None:
+    def __init__(
+        self, election: Election, on_members: Callable[[tuple[str, ...]], None]
+    ) -> None:
         self._election = election
+        self._on_members = on_members
         self._host: PlannerHost | None = None
         self._has_host = asyncio.Event()
         self._session_by_member: dict[str, _Session] = {}
@@ -121,6 +126,8 @@
         session.send(messages.Hello("", ""))
         host.on_member(session.member, True)
         self._tell_members()
+        # Not when members leave: a planner that ends asks all that it knew.
+        self._on_members(tuple(s.address for s in self._session_by_member.values()))
         pings = asyncio.create_task(session.ping())
         try:
             while True:
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
@@ -74,7 +74,7 @@
             settings.peer_address,
             self._on_term,
         )
-        self._peers = PlannerServer(self._election)
+        self._peers = PlannerServer(self._election, self._link.set_peers)
         self._feed = OperatorFeed(self._store, self._on_rules, self._on_zones)
         self._front = Front(self._feed, self._link)
         self._host: PlannerHost | None = None
--- /dev/null
+++ b/tests/test_planner_streams.py
@@ -0,0 +1,109 @@
+"""Streams between entry processes on the platform, over loopback in one process."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from typing import Any
+
+from jacinthloom_core.planner.election import Election, Term
+from jacinthloom_daemon.hosted import messages
+from jacinthloom_daemon.hosted.planner_link import PlannerLink
+from jacinthloom_daemon.hosted.planner_server import PlannerServer
+
+from testkit.hosted.deployment import find_free_ports
+
+
+class FakeHost:
+    """A planner that answers every call."""
+
+    def __init__(self) -> None:
+        self.ended = asyncio.Event()
+
+    def on_member(self, member: str, is_connected: bool) -> None:
+        """Take no notice."""
+
+    async def call(self, message: Any) -> messages.Answer:
+        return messages.Answer(message.call, 200, state="running")
+
+
+class Member:
+    """The streams of one entry process."""
+
+    def __init__(self, name: str, processors: float = 1.0) -> None:
+        (port,) = find_free_ports(1)
+        self.address = f"127.0.0.1:{port}"
+        self.election = Election(name, self.address, processors)
+        self.told: list[Term] = []
+        self.link = PlannerLink(
+            name, self.advise, self.election, self.address, self.told.append
+        )
+        self.server = PlannerServer(self.election, self.link.set_peers)
+
+    async def advise(self, order: messages.AdviceOrder) -> messages.Advised:
+        return messages.Advised(order.step, order.workers, ())
+
+    def follow(self, term: Term) -> None:
+        self.election.term = term
+        self.link.set_term(term)
+
+
+class PlannerStreamsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.members = [Member("m0", 0.5), Member("m1", 2.0), Member("m2", 0.5)]
+        for member in self.members:
+            await member.server.start(member.address)
+        self.term = Term(1, "m0", self.members[0].address)
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def asyncTearDown(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        for member in self.members:
+            member.link.set_term(None)
+            member.server.set_host(None)
+
+    async def connect(self) -> None:
+        for member in self.members:
+            member.follow(self.term)
+        self.members[0].server.set_host(FakeHost())  # type: ignore[arg-type]
+        async with asyncio.timeout(5):
+            while self.members[0].server.count_members() < 2:
+                await asyncio.sleep(0.02)
+
+    async def test_planner_cut_off_from_the_store_learns_of_its_successor(self) -> None:
+        await self.connect()
+        planner, successor, _ = self.members
+        successor.election.term = Term(9, "m1", successor.address)
+        planner.server.set_host(None)  # fenced by a worker; the log can't be read
+        self.tasks.append(asyncio.create_task(planner.link.ask_peers()))
+        async with asyncio.timeout(5):
+            while not planner.told:
+                await asyncio.sleep(0.02)
+        self.assertEqual(planner.told[0].number, 9)
+
+    async def test_stream_waits_for_a_planner_that_still_loads(self) -> None:
+        for member in self.members:
+            member.follow(self.term)
+        caller = self.members[1].link
+        call = asyncio.create_task(caller.call(messages.Show(0, "a" * 16), 2.0, 2.0))
+        await asyncio.sleep(0.3)
+        self.members[0].server.set_host(FakeHost())  # type: ignore[arg-type]
+        began = asyncio.get_running_loop().time()
+        answer = await call
+        self.assertEqual(answer.state, "running")
+        # A second dial would come 0.15 s later.
+        self.assertLess(asyncio.get_running_loop().time() - began, 0.14)
+
+    async def test_planner_knows_the_largest_host_that_may_take_over(self) -> None:
+        await self.connect()
+        self.assertEqual(self.members[0].server.find_largest_processors(), 2.0)
+        async with asyncio.timeout(5):
+            while self.members[2].election.largest_processors != 2.0:
+                await asyncio.sleep(0.02)
+        self.assertTrue(self.members[2].election.is_small)
+        self.assertFalse(self.members[1].election.is_small)
+
+
+if __name__ == "__main__":
+    unittest.main()
