Put operators on one page; bring the pages of the platform up to date

Cause: operators had two pages, one for the product by itself and one for the platform, and a reader of the second had to know the first. docs/OPERATIONS.md now holds both, and its commands are run by tests/test_operations_page.py as before (renamed, nothing else).

Ruled out: one page a platform with shared parts, which says everything twice.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -21,7 +21,7 @@
 PROCESS_MODULES = (
     "tests.test_golden",
     "tests.test_hosted_processes",
-    "tests.test_operators_page",
+    "tests.test_operations_page",
     "tests.test_process_faults",
     "tests.test_thin_path",
 )
--- a/tests/test_operators_page.py
+++ b/tests/test_operations_page.py
@@ -1,4 +1,4 @@
-"""Every command on the operators' page does as it says."""
+"""Every command on the operations page does as it says."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 from tests.test_thin_path import wait_for_workers
 
 ROOT = Path(__file__).parent.parent
-PAGE = ROOT / "docs" / "OPERATORS.md"
+PAGE = ROOT / "docs" / "OPERATIONS.md"
 BINARY = ROOT / ".venv" / "bin" / "jacinthloom"
 
 OUTPUT_BY_COMMAND = {
@@ -39,7 +39,7 @@
     return [line.removeprefix("$ jacinthloom ") for line in lines]
 
 
-class OperatorsPageTest(unittest.IsolatedAsyncioTestCase):
+class OperationsPageTest(unittest.IsolatedAsyncioTestCase):
     async def run_command(self, cluster: Cluster, command: str, key: str) -> str:
         entries = [cluster.address_by_name[name] for name in cluster.settings_by_entry]
         process = await asyncio.create_subprocess_exec(
