--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/placing.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/placing.py
@@ -8,7 +8,6 @@
 from .asking import choose_asked
 from .effects import Start
 from .jobs import TaskState
-from .order import LatestStartOrder
 from .placement import place_gang, place_tasks
 from .reservations import Reservations
 from .sharing import may_share
@@ -61,9 +60,9 @@
 class Placing:
     """Places waiting tasks on workers, in the order of their ranks."""
 
-    def __init__(self, books: Books, order: OrderPolicy | None = None) -> None:
+    def __init__(self, books: Books, order: OrderPolicy) -> None:
         self._books = books
-        self._order = order or LatestStartOrder(books.run_times)
+        self._order = order
         self._reservations = Reservations()
         self._drained = 0
         self.reason_by_step: dict[StepId, str] = {}
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
@@ -10,6 +10,7 @@
 from .fleet import CLOCK_RATE_ERROR
 from .intake import OK, Intake
 from .jobs import TaskState
+from .order import LatestStartOrder
 from .placing import Placing
 from .records import QUEUE_PREFIX, load_jobs, load_queues
 from .runs import Runs
@@ -21,6 +22,8 @@
     from .events import Event
     from .jobs import Task
     from .ledger import Batch
+    from .order import OrderPolicy
+    from .run_times import RunTimes
 
 STATUS_MARGIN_S = 60.0
 """Seconds beyond the promised time for which final states are kept."""
@@ -49,12 +52,16 @@
 class Planner:
     """Decides where and when every task runs."""
 
-    def __init__(self, settings: PlannerSettings) -> None:
+    def __init__(
+        self,
+        settings: PlannerSettings,
+        make_order: Callable[[RunTimes], OrderPolicy] = LatestStartOrder,
+    ) -> None:
         books = Books(settings)
         self.books = books
         self._intake = Intake(books)
         self._runs = Runs(books, self._intake)
-        self._placing = Placing(books)
+        self._placing = Placing(books, make_order(books.run_times))
         self._pass_due = 0.0
         self._dropped_at = 0.0
         self._explained_at = 0.0
