--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: install check test demo bench capacity golden clean
+.PHONY: install check test demo bench capacity planning golden clean
 
 $(STAMP): requirements.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -30,6 +30,9 @@
 capacity: $(STAMP)
 	$(BIN)/python -m bench.capacity
 
+planning: $(STAMP)
+	$(BIN)/python -m bench.planning
+
 golden: $(STAMP)
 	$(BIN)/python -m tests.golden --update
 
--- a/bench/loads.py
+++ b/bench/loads.py
@@ -10,7 +10,6 @@
 from jacinthloom_core.planner.specs import JobSpec, StepSpec
 from jacinthloom_core.vocabulary.resources import Resources
 
-
 WIDEST = 1.5
 """Widest step as a multiple of the mean: a gang still fits on the good workers."""
 
