Ask and drain only for what can run; store nothing of a refused job later

Asking counted the whole room of a worker for a step that may have few tasks on each, so that workers it had filled made it ask about no others: its last tasks would have waited for ever (LOST). A gang that needs more than all workers that may run it had all of them drained, and held up everything behind it until it counted as hopeless. A job that was refused with its batch left its placements, made while the batch was in flight, to the next one: a record that nothing would ever drop.

Ruled out: the same for limits of client accounts (a gang beyond its limit is not looked at).

Before: the three new tests fail; after: they pass.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/asking.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/asking.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from .advice import MAX_ASKED
+from .placement import count_rooms
 
 if TYPE_CHECKING:
     from .advice import StepAdvice
@@ -40,13 +41,12 @@
     :param workers: workers that may run the step
     :param needed: tasks to be placed
     """
-    spec = step.spec
     known: list[tuple[int, int, Worker]] = []
     unknown: list[tuple[int, int, Worker]] = []
     seed = zlib.crc32(step.id.job.encode())
     expected = 0.0
-    for worker in workers:
-        room = min(needed, worker.count_room(spec.size, spec.fills))
+    for worker, free in zip(workers, count_rooms(step, workers), strict=True):
+        room = min(needed, free)
         if advice.find_ticket(worker, now + ANSWER_S):
             expected += room
             continue
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/intake.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/intake.py
@@ -79,9 +79,7 @@
         for job in batch.unaccepted:
             job_id = job.spec.id
             self._books.forget_job(job)
-            del batch.jobs[job_id]
-            for key in [key for key in batch.occurrences if key[0] == job_id]:
-                del batch.occurrences[key]
+            self._books.ledger.forget(job_id)
             self._refuse(job_id, batch.calls_by_job.pop(job_id, []), now)
 
     def _reply_stored(self, job_id: str, call: int) -> None:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/ledger.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/ledger.py
@@ -117,6 +117,15 @@
             return self.in_flight
         return self.pending
 
+    def forget(self, job: str) -> None:
+        """Store nothing of a job that was not accepted."""
+        for batch in (self.in_flight, self.pending):
+            if batch is None:
+                continue
+            batch.jobs.pop(job, None)
+            for key in [key for key in batch.occurrences if key[0] == job]:
+                del batch.occurrences[key]
+
     def on_refused(self, number: int, now: float) -> None:
         """Let the batch in flight be appended again after a while."""
         if self.in_flight is not None and self.in_flight.number == number:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/placement.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/placement.py
@@ -58,6 +58,19 @@
     return worker.entry.rack if worker.entry else ""
 
 
+def count_rooms(step: StepRun, workers: list[Worker]) -> list[int]:
+    """Return how many more tasks of a step each worker may take now."""
+    spec = step.spec
+    rooms = [worker.count_room(spec.size, spec.fills) for worker in workers]
+    if not spec.most_per_worker:
+        return rooms
+    present = Counter(task.worker for task in step.tasks if task.worker)
+    return [
+        max(0, min(room, spec.most_per_worker - present[worker.id]))
+        for worker, room in zip(workers, rooms, strict=True)
+    ]
+
+
 def _find_home_rack(step: StepRun, workers: list[Worker]) -> str:
     """Return the rack that tasks of a step should run on; empty if any will do."""
     spec = step.spec
@@ -79,15 +92,9 @@
         workers = list(workers)
         self._step = step
         self._home_rack = _find_home_rack(step, workers)
-        spec = step.spec
-        present: Counter[str] = Counter()
-        if spec.most_per_worker:
-            present.update(task.worker for task in step.tasks if task.worker)
         rows: list[_Row] = []
-        for number, worker in enumerate(workers):
-            room = worker.count_room(spec.size, spec.fills)
-            if spec.most_per_worker:
-                room = min(room, spec.most_per_worker - present[worker.id])
+        rooms = count_rooms(step, workers)
+        for number, (worker, room) in enumerate(zip(workers, rooms, strict=True)):
             if room > 0:
                 rows.append((self._score(worker, room), number, room, worker))
         heapq.heapify(rows)
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/placing.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/placing.py
@@ -181,7 +181,6 @@
             return
         self.reason_by_step[step.id] = "there is no room for the whole gang"
         if self._drained < MAX_DRAINED_GANGS:
-            self._drained += 1
             self._drain(turn, possible)
 
     def _drain(self, turn: _Turn, possible: list[Worker]) -> None:
@@ -193,14 +192,20 @@
             is_known = advice is None or worker.id in advice.is_good_by_worker
             return (not is_known, -worker.count_room(spec.size, spec.fills))
 
-        unknown = 0
+        drained: list[Worker] = []
         for worker in sorted(possible, key=rank):
             if missing <= 0:
                 break
-            self._reservations.reserve_all(worker)
+            drained.append(worker)
             missing -= worker.count_room_when_empty(spec.size, spec.fills)
-            unknown += rank(worker)[0]
-        if unknown:
+        if missing > 0:
+            # Draining all of them would stop others for a gang that can't run.
+            self.reason_by_step[turn.step.id] = "too few workers may run the gang"
+            return
+        self._drained += 1
+        for worker in drained:
+            self._reservations.reserve_all(worker)
+        if any(rank(worker)[0] for worker in drained):
             self._ask(turn, possible, turn.waiting)
 
     def _ask(self, turn: _Turn, workers: list[Worker], tasks: list[Task]) -> None:
--- a/tests/planner/test_asking.py
+++ b/tests/planner/test_asking.py
@@ -56,6 +56,17 @@
         names = choose_asked(make_step(1, 20), workers, 20, StepAdvice(), 0.0)
         self.assertTrue(all(int(name[1:]) % 2 for name in names))
 
+    def test_step_that_is_spread_asks_about_more_than_it_has_filled(self) -> None:
+        workers = [make_worker(number) for number in range(FLEET)]
+        step = make_step(1, 25)
+        step.spec = replace(step.spec, most_per_worker=1)
+        advice = StepAdvice(is_good_by_worker={f"w{n}": True for n in range(10)})
+        for number in range(10):
+            step.tasks[number].worker = f"w{number}"
+        names = choose_asked(step, workers, 15, advice, 0.0)
+        unknown = [name for name in names if int(name[1:]) >= 10]
+        self.assertGreaterEqual(len(unknown) * 0.3, 15 * 1.5)
+
     def test_known_workers_are_asked_for_new_tickets_only(self) -> None:
         workers = [make_worker(number) for number in range(FLEET)]
         advice = StepAdvice(
--- a/tests/planner/test_gang_room.py
+++ b/tests/planner/test_gang_room.py
@@ -97,6 +97,15 @@
         self.wait(0.2)
         self.assertEqual(self.find_started(), [small])
 
+    def test_gang_that_can_never_run_holds_nobody_up(self) -> None:
+        too_wide = replace(GANG, count=WORKERS + 1)
+        self.submit("gangs", too_wide)
+        self.wait(0.2)
+        self.advise()
+        small = self.submit("small", SMALL)
+        self.wait(0.2)
+        self.assertEqual(self.find_started(), [small])
+
     def test_room_set_aside_is_returned_after_each_pass(self) -> None:
         self.submit("gangs", GANG)
         self.submit("gangs", GANG)
--- a/tests/planner/test_refusals.py
+++ b/tests/planner/test_refusals.py
@@ -84,6 +84,24 @@
         self.assertEqual([s for s in self.starts if s.task.job in refused], [])
         self.assertEqual(refused & self.store.value_by_key.keys(), set())
 
+    def test_nothing_of_a_refused_job_is_stored_by_a_later_batch(self) -> None:
+        self.take(self.planner.handle(events.Tick(self.now - 0.01, 0)))  # a pass
+        self.submit()
+        (first,) = self.batches
+        self.now += 0.1  # its task is placed while the batch is in flight
+        self.take(self.planner.handle(events.FlushDue(self.now)))
+        self.now += 2.0
+        refused = events.BatchRefused(self.now, first.number)
+        self.take(self.planner.handle(refused))
+        self.assertEqual(self.replies[1][1].status, 503)
+        self.batches.clear()
+        for _ in range(4):
+            self.now += 0.2
+            self.take(self.planner.handle(events.FlushDue(self.now)))
+            self.store_everything()
+        keys = [key for key in self.store.value_by_key if not key.startswith("queue:")]
+        self.assertEqual(keys, [])
+
     def test_job_that_was_refused_is_accepted_when_it_comes_again(self) -> None:
         self.play(until=2.5, answers=True)
         self.take(self.planner.handle(events.FlushDue(self.now + 0.2)))
