Refuse jobs for a queue that the planner does not know; answer calls of little patience

And a call with less than a quarter of a second was refused with "there is no planner now" though one was there: half of such a budget is now kept for the way back.

Ruled out: 404 for the unknown queue, as its host may be ahead of the planner.

Before: four new tests fail; after: they pass.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/intake.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/intake.py
@@ -42,6 +42,9 @@
         if books.ledger.is_stalled(event.now):
             self._refuse(spec.id, [event.call], event.now)
             return
+        if spec.queue not in books.queue_by_name:
+            self._refuse_unknown_queue(event)
+            return
         problem = self._find_misfit(spec)
         if problem:
             books.note("job_refused", job=spec.id, reason=problem)
@@ -71,6 +74,24 @@
         retry_s = compute_retry_after_s(stalled_s)
         books.effects += [Reply(call, UNAVAILABLE, reason, retry_s) for call in calls]
 
+    def _refuse_unknown_queue(self, event: JobSubmitted) -> None:
+        """Refuse a job for a queue of a configuration that is not known here.
+
+        Its host may be ahead of this one, or behind its predecessor: the job would wait
+        for a queue that may never come.
+        """
+        books, spec = self._books, event.job
+        reason = "the planner does not know the queue; the job was not accepted"
+        books.note(
+            "job_refused",
+            job=spec.id,
+            reason="unknown queue",
+            queue=spec.queue,
+            rules=books.rules.version,
+        )
+        retry_s = compute_retry_after_s(0.0)
+        books.effects.append(Reply(event.call, UNAVAILABLE, reason, retry_s))
+
     def refuse_unstored(self, batch: Batch, now: float) -> None:
         """Refuse the jobs of a batch of which for certain nothing was stored.
 
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
@@ -276,7 +276,10 @@
         self._drop_queues()
 
     def _drop_queues(self) -> None:
-        """Forget queues that are not configured any more and have no jobs."""
+        """Drop the records of queues that are not configured any more and have no jobs.
+
+        They stay in memory: hosts that are behind still submit to them.
+        """
         books = self.books
         gone = books.stored_queue_by_name.keys() - books.rules.queue_by_name.keys()
         if not gone:
@@ -284,5 +287,4 @@
         used = {job.spec.queue for job in books.job_by_id.values()}
         for name in gone - used:
             del books.stored_queue_by_name[name]
-            books.queue_by_name.pop(name, None)
             books.ledger.pending.dropped.append(QUEUE_PREFIX + name)
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/front.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/front.py
@@ -35,7 +35,8 @@
 """Seconds that a call waits for a planner: an election and the load of its records."""
 
 ANSWER_MARGIN_S = 0.25
-"""Seconds of a caller's budget that are left for the answer to travel."""
+"""Seconds of a caller's budget that are left for the answer to travel; half of a budget
+that is shorter than twice as long."""
 
 RETRY_AFTER_S = 1
 """Seconds to come back after when this host can't serve: another one likely can."""
@@ -108,11 +109,10 @@
 
         The store remembers what a planner accepted, so a call may be repeated.
         """
-        deadline = time.monotonic() + budget_s - ANSWER_MARGIN_S
-        if deadline <= time.monotonic():
-            return messages.Answer(
-                0, 503, "the time of the call is over", RETRY_AFTER_S
-            )
+        if budget_s <= 0:
+            return messages.Answer(0, 503, "the call allows no time", RETRY_AFTER_S)
+        margin_s = min(ANSWER_MARGIN_S, budget_s / 2)
+        deadline = time.monotonic() + budget_s - margin_s
         was_sent = False
         while (left := deadline - time.monotonic()) > 0:
             wait_s = left if was_sent else min(left, PLANNER_WAIT_S)
--- a/tests/planner/test_refusals.py
+++ b/tests/planner/test_refusals.py
@@ -7,7 +7,7 @@
 
 from jacinthloom_core.planner import effects, events
 
-from .test_takeover import JOB, Store, answer_hold, find_starts, make_planner
+from .test_takeover import JOB, RULES, Store, answer_hold, find_starts, make_planner
 
 STEP_S = 0.05
 """Seconds between two ticks."""
@@ -115,6 +115,28 @@
         self.assertEqual([s.task.job for s in self.starts], [again.id])
 
 
+class UnknownQueueTest(Outage):
+    def test_job_for_an_unknown_queue_is_refused_and_may_come_again(self) -> None:
+        job = replace(JOB, queue="not configured here")
+        self.take(self.planner.handle(events.JobSubmitted(self.now, 1, job)))
+        reply = self.replies[1][1]
+        self.assertEqual((reply.status, reply.retry_after_s), (503, 1))
+
+    def test_removed_queue_still_takes_jobs_of_hosts_that_are_behind(self) -> None:
+        without = replace(RULES, version=2, queue_by_name={})
+        self.take(self.planner.handle(events.RulesChanged(self.now, without)))
+        for now in (2.0, 4.0):
+            self.take(self.planner.handle(events.Tick(now, 0)))
+        self.now = 4.1
+        self.submit()
+        self.store_everything()
+        self.assertEqual(self.replies[1][1].status, 200)
+        self.take(answer_hold(self.planner, self.now))
+        self.take(self.planner.handle(events.Tick(self.now + 0.1, 0)))
+        self.store_everything()
+        self.assertEqual(len(self.starts), 1)
+
+
 class SilentStoreTest(Outage):
     def test_only_jobs_that_may_be_stored_wait_for_the_store(self) -> None:
         self.play(until=4.0, answers=False)
--- a/tests/test_planner_streams.py
+++ b/tests/test_planner_streams.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import unittest
-from typing import Any
+from typing import Any, cast
 
 from jacinthloom_core.planner.election import Election, Term
 from jacinthloom_daemon.hosted import messages
+from jacinthloom_daemon.hosted.front import Front
 from jacinthloom_daemon.hosted.planner_link import PlannerLink
 from jacinthloom_daemon.hosted.planner_server import PlannerServer
 
@@ -54,6 +55,34 @@
         self.link.set_term(term)
 
 
+class SlowLink:
+    """A way to a planner that answers after 20 ms."""
+
+    async def call(
+        self, message: Any, wait_s: float, timeout_s: float
+    ) -> messages.Answer:
+        async with asyncio.timeout(timeout_s):
+            await asyncio.sleep(0.02)
+        return messages.Answer(0, 200, state="running")
+
+
+class FrontTest(unittest.IsolatedAsyncioTestCase):
+    async def ask(self, budget_s: float) -> messages.Answer:
+        front = Front(cast("Any", None), cast("Any", SlowLink()))
+        return await front._ask(messages.Show(0, "a" * 16), budget_s)
+
+    async def test_call_of_little_patience_is_answered_while_there_is_time(
+        self,
+    ) -> None:
+        self.assertEqual((await self.ask(0.2)).status, 200)
+
+    async def test_call_without_time_is_refused_with_that_reason(self) -> None:
+        answer = await self.ask(0.0)
+        self.assertEqual(
+            (answer.status, answer.reason), (503, "the call allows no time")
+        )
+
+
 class PlannerStreamsTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.members = [Member("m0", 0.5), Member("m1", 2.0), Member("m2", 0.5)]
