--- a/tests/test_planner_streams.py
+++ b/tests/test_planner_streams.py
@@ -97,6 +97,7 @@
         for member in self.members:
             member.link.set_term(None)
             member.server.set_host(None)
+        await asyncio.sleep(0.1)  # streams that end leave their tasks
 
     async def connect(self) -> None:
         for member in self.members:
