Plan a term once, and never on another member's word

It planned that term again, under the epoch and the sequence numbers of its first planner; the store took the appends for repeats, answered with the first ones' offsets, and kept nothing of them.

A member now takes no term over that is its own or that it has seen released, and a process plans a term once and logs the second time.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
@@ -108,6 +108,8 @@
         self.end = 0
         """Offset behind the last record that was read."""
         self.term: Term | None = None
+        self._newest_number = 0
+        """Number of the newest term that is known, also once it is released."""
         self._answered_at = float("-inf")
         self._quiet_since = float("inf")
         self._renewed_at = float("-inf")
@@ -160,6 +162,7 @@
         if record.act is Act.CLAIM:
             self._complained_at.clear()
             self.term = Term(offset + 1, record.member, record.address)
+            self._newest_number = max(self._newest_number, offset + 1)
             self._abdicated_at = float("-inf")
             return
         is_holder = self.term is not None and record.member == self.term.member
@@ -193,10 +196,12 @@
     def on_told(self, term: Term) -> bool:
         """Take over a newer term that another member has read; return whether it is.
 
-        A member that can't read the log itself learns so whom to call.
+        A member that can't read the log itself learns so whom to call. It is never told
+        of its own term, and not of one that it has seen released: others may be behind.
         """
-        if self.term is not None and term.number <= self.term.number:
+        if term.member == self.member or term.number <= self._newest_number:
             return False
+        self._newest_number = term.number
         self.term = term
         return True
 
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
@@ -80,6 +80,7 @@
         self._front = Front(self._feed, self._link)
         self._host: PlannerHost | None = None
         self._planning_since = 0.0
+        self._planned_number = 0
         self._append_latency = Latency(
             "jacinthloom_append_seconds", "Time from a batch to its acknowledgement."
         )
@@ -196,9 +197,15 @@
         if self._host is not None:
             self._host.end("another term has begun")
         self._link.set_term(term)
-        if term is not None and term.member == self._member:
-            self._spawn(self._elections.renew())
-            self._spawn(self._plan(term))
+        if term is None or term.member != self._member:
+            return
+        if term.number <= self._planned_number:
+            # A second planner would write under the epoch of the first.
+            log.write("term_repeated", number=term.number)
+            return
+        self._planned_number = term.number
+        self._spawn(self._elections.renew())
+        self._spawn(self._plan(term))
 
     def _on_abdicated(self) -> None:
         term = self._election.term
--- a/tests/planner/test_election.py
+++ b/tests/planner/test_election.py
@@ -12,6 +12,7 @@
     Act,
     Election,
     ElectionRecord,
+    Term,
 )
 
 CLAIM = ElectionRecord(Act.CLAIM, "m1", "10.0.0.1:1", 1_000)
@@ -90,6 +91,18 @@
         election.processors, election.largest_processors = 1.0, 1.1
         self.assertTrue(election.may_claim(CLAIM_AFTER_S))
 
+    def test_member_is_not_told_of_its_own_term(self) -> None:
+        election = follow(0.4)
+        self.assertFalse(election.on_told(Term(9, "m2", "10.0.0.2:1")))
+        self.assertTrue(election.on_told(Term(9, "m3", "10.0.0.3:1")))
+
+    def test_member_is_not_told_of_a_term_that_it_has_seen_released(self) -> None:
+        election = follow(0.4)
+        release = ElectionRecord(Act.RELEASE, "m1", "10.0.0.1:1", 1_000)
+        election.on_read([(1, release)], 2, 0.5)
+        self.assertFalse(election.on_told(Term(1, "m1", "10.0.0.1:1")))
+        self.assertIsNone(election.term)
+
     def test_renewal_makes_an_abdication_void(self) -> None:
         election = follow(0.4)
         election.on_abdicated(1, 0.4)
