Check the whole sentence on a room's page

Cause, found by reading the diff as a newcomer: the check looked for a piece of a word. It now asks for a sentence that says what the room imports. Ruled out: dropping it, as the order of rooms is checked elsewhere but not that a page tells it. Before: any text with that piece passed; after: it fails when the sentence of one room is taken out (tried).

--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -69,7 +69,8 @@
                 continue
             text = (folder / "__init__.py").read_text()
             with self.subTest(room=folder.name):
-                self.assertIn("mport", (ast.get_docstring(ast.parse(text)) or ""))
+                page = ast.get_docstring(ast.parse(text)) or ""
+                self.assertRegex(page, r"\b(Imports|May import) ")
 
 
 if __name__ == "__main__":
