Retry an idempotent request elsewhere when its owner is lost

Cause: the coordinator of a request never learned that the member which holds its attempt had died or fallen silent. The request waited until its deadline and a second more, and ended as "unknown". In `make demo` that is the lookup right after e3 is killed, whenever e1 or e2 offers it to e3.

Change: when an owner leaves the view, or is silent for the suspicion timeout of 3 s, an idempotent request is offered to another owner as long as its deadline has not passed.

--- a/packages/jacinthloom-core/src/jacinthloom_core/job_coordination/request_coordinator.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/job_coordination/request_coordinator.py
@@ -291,10 +291,7 @@
             return
         self._release_owner(request)
         request.may_have_run = True
-        ended_well = message.outcome == "answered"
-        may_retry = request.spec.idempotent and len(request.offered_to) < MAX_OFFERS
-        in_time = self._context.wall < request.spec.deadline
-        if not ended_well and may_retry and in_time and not request.stopping:
+        if message.outcome != "answered" and self._may_retry(request):
             self._context.counters["request_retried"] += 1
             self._route(request)
             return
@@ -340,14 +337,43 @@
         self._context.counters[f"request_{kind}"] += 1
         self._context.emit(Reply(request.call, answer))
 
-    # Deadlines
+    # Lost owners and deadlines
+
+    def on_view(self) -> None:
+        """Resolve the requests whose owner left the view, as no outcome can arrive."""
+        members = self._membership.view.members_by_id
+        for request in list(self.open_by_id.values()):
+            if request.owner and request.owner not in members:
+                self._on_owner_lost(request)
+
+    def _on_owner_lost(self, request: OpenRequest) -> None:
+        """Retry an idempotent request elsewhere; others may have run already."""
+        self._context.note("request_owner_lost", request.spec.job, request.owner)
+        self._release_owner(request)
+        request.may_have_run = True
+        if self._may_retry(request):
+            self._context.counters["request_retried"] += 1
+            self._route(request)
+        else:
+            self._refuse(request, "not_started", "the member that held it is gone")
+
+    def _may_retry(self, request: OpenRequest) -> bool:
+        return (
+            request.spec.idempotent
+            and not request.stopping
+            and len(request.offered_to) < MAX_OFFERS
+            and self._context.wall < request.spec.deadline
+        )
 
     def on_tick(self) -> None:
-        """Stop or answer requests whose deadline has passed."""
+        """Retry requests of silent owners; stop or answer those that are overdue."""
         wall = self._context.wall
         for request in list(self.open_by_id.values()):
             deadline = request.spec.deadline
             if wall < deadline:
+                is_silent = self._membership.suspects(request.owner)
+                if request.owner and is_silent and self._may_retry(request):
+                    self._on_owner_lost(request)
                 continue
             if (
                 not request.owner
--- a/packages/jacinthloom-core/src/jacinthloom_core/shared_log/log_applier.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/shared_log/log_applier.py
@@ -131,6 +131,7 @@
         self._member.owned_workers.on_view()
         self._member.deliver_inbox()
         self._member.job_coordinator.on_view()
+        self._member.request_coordinator.on_view()
         self._member.owned_workers.changed_teams.update(
             self._member.owned_workers.used_by_team
         )
