Reserve a loopback address for each entry process that a test starts

The hosted tests used 127.0.0.10 and up with a fixed metrics port, so two runs on one machine collided, and a failed set-up left its processes running.

Deployment.find_planner waits for a planner, and the hosted tests register the clean-up before they start anything.

--- a/testkit/cluster.py
+++ b/testkit/cluster.py
@@ -6,7 +6,6 @@
 import json
 import os
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -18,6 +17,8 @@
 from jacinthloom_wire.errors import WireError
 from jacinthloom_wire.http_client import HttpClient
 
+from .loopback import reserve_loopback_ip
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
@@ -28,6 +29,12 @@
 
 POLL_INTERVAL_S = 0.05
 
+HTTP_PORT = 8080
+"""Port for callers of each entry process, which has an address of its own."""
+
+PEER_PORT = 8081
+"""Port for the peers of each entry process."""
+
 
 @dataclass(frozen=True, slots=True)
 class Shape:
@@ -139,13 +146,14 @@
     def _write_settings(self, name: str) -> Path:
         number = int(name.lstrip("e"))
         zone = self.shape.zones[(number - 1) % len(self.shape.zones)]
-        self.address_by_name[name] = f"127.0.0.1:{find_free_port()}"
+        ip = reserve_loopback_ip()
+        self.address_by_name[name] = f"{ip}:{HTTP_PORT}"
         key = KeyHash.from_secret("operator", name, OPERATOR_SECRET)
         path = self.folder / f"{name}.toml"
         path.write_text(
             f'name = "{name}"\nzone = "{zone}"\n'
             f'http_address = "{self.address_by_name[name]}"\n'
-            f'peer_address = "127.0.0.1:{find_free_port()}"\n'
+            f'peer_address = "{ip}:{PEER_PORT}"\n'
             f'log_address = "{self.address_by_name["log"]}"\n'
             f'host_list_address = "{self.address_by_name["hosts"]}"\n'
             f'[operator_key]\nsalt = "{key.salt}"\ndigest = "{key.digest}"\n'
@@ -265,10 +273,3 @@
                 process.kill()
         for process in self.process_by_name.values():
             await process.wait()
-
-
-def find_free_port() -> int:
-    """Return a TCP port that is currently free on the loopback address."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
--- a/testkit/hosted/deployment.py
+++ b/testkit/hosted/deployment.py
@@ -6,7 +6,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -16,11 +15,21 @@
 from jacinthloom_wire.errors import TransportError
 from jacinthloom_wire.http_client import HttpClient, Response
 
+from ..loopback import reserve_loopback_ip
 from .log_store import LogStoreStandIn
 from .worker import WorkerStandIn
 
 SERVICE = "pool"
 KEY = "key-of-team"
+
+FRONT_PORT = 8183
+READY_PORT = 8184
+PEER_PORT = 7420
+
+START_TIMEOUT_S = 20.0
+"""Seconds within which processes are ready and one of them has become the planner."""
+
+POLL_INTERVAL_S = 0.1
 PREFIX = "/checks/"
 
 SETTINGS = """\
@@ -62,9 +71,8 @@
         self.store = LogStoreStandIn()
         self.workers = [WorkerStandIn(f"i-{number}") for number in range(workers)]
         self._folder = tempfile.TemporaryDirectory()
-        self._ips = [f"127.0.0.{10 + number}" for number in range(processes)]
+        self._ips = [reserve_loopback_ip() for _ in range(processes)]
         self.process_by_ip: dict[str, subprocess.Popen[bytes]] = {}
-        self._port = 0
         self._settings_by_ip: dict[str, Path] = {}
 
     async def start(self) -> None:
@@ -75,15 +83,13 @@
         for worker in self.workers:
             await worker.start()
             await self.store.put("keyed.servers", worker.id, worker.describe(SERVICE))
-        front, ready, peer = find_free_ports(3)
-        self._port = front
         for number, ip in enumerate(self._ips):
             text = SETTINGS.format(
                 name=f"e{number}",
                 ip=ip,
-                front=front,
-                ready=ready,
-                peer=peer,
+                front=FRONT_PORT,
+                ready=READY_PORT,
+                peer=PEER_PORT,
                 store=store,
             )
             path = Path(self._folder.name) / f"{ip}.conf"
@@ -91,7 +97,7 @@
             self._settings_by_ip[ip] = path
             self.start_process(ip)
         for ip in self._ips:
-            await self._wait_until_ready(f"{ip}:{ready}")
+            await self._wait_until_ready(f"{ip}:{READY_PORT}")
 
     def start_process(self, ip: str) -> None:
         """Start an entry process."""
@@ -107,7 +113,7 @@
 
     async def _wait_until_ready(self, address: str) -> None:
         client = HttpClient(address)
-        async with asyncio.timeout(20):
+        async with asyncio.timeout(START_TIMEOUT_S):
             while True:
                 try:
                     response = await client.request("GET", "/readiness", timeout=1.0)
@@ -115,28 +121,36 @@
                         return
                 except TransportError:
                     pass
-                await asyncio.sleep(0.1)
+                await asyncio.sleep(POLL_INTERVAL_S)
 
     def read_log(self, ip: str) -> list[dict[str, Any]]:
         """Return the log lines of the process at an address."""
         lines = (Path(self._folder.name) / f"{ip}.log").read_text().splitlines()
         return [json.loads(line) for line in lines if line.startswith("{")]
 
-    def find_planner(self) -> str:
-        """Return the address of the process that became the planner last."""
-        at_by_ip = {
+    async def find_planner(self) -> str:
+        """Return the address of the process that became the planner last.
+
+        Wait for one if there has been none yet.
+        """
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while not (at_by_ip := self._find_planner_times()):
+                await asyncio.sleep(POLL_INTERVAL_S)
+        return max(at_by_ip, key=lambda ip: at_by_ip[ip])
+
+    def _find_planner_times(self) -> dict[str, float]:
+        return {
             ip: line["at"]
             for ip in self._ips
             for line in self.read_log(ip)
             if line["event"] == "planner_ready"
         }
-        return max(at_by_ip, key=lambda ip: at_by_ip[ip])
 
     async def call(
         self, ip: str, method: str, job: str, body: object = None
     ) -> Response:
         """Call an entry process as a client does."""
-        client = HttpClient(f"{ip}:{self._port}")
+        client = HttpClient(f"{ip}:{FRONT_PORT}")
         headers = (("Authorization", f"Token {KEY}"),)
         data = b"" if body is None else json.dumps(body).encode()
         try:
@@ -161,15 +175,3 @@
             await worker.close()
         await self.store.close()
         self._folder.cleanup()
-
-
-def find_free_ports(count: int) -> list[int]:
-    """Return free loopback ports."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for found in sockets:
-            found.bind(("127.0.0.1", 0))
-        return [found.getsockname()[1] for found in sockets]
-    finally:
-        for found in sockets:
-            found.close()
--- a/tests/test_hosted_processes.py
+++ b/tests/test_hosted_processes.py
@@ -18,14 +18,12 @@
 class HostedProcessesTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.deployment = Deployment()
+        self.addAsyncCleanup(self.deployment.close)
         await self.deployment.start()
-        self.planner = self.deployment.find_planner()
+        self.planner = await self.deployment.find_planner()
         others = [ip for ip in self.deployment.process_by_ip if ip != self.planner]
         self.other = others[0]
 
-    async def asyncTearDown(self) -> None:
-        await self.deployment.close()
-
     async def submit(self, ip: str, job: str) -> int:
         body = {"spec": "text", "steps": STEPS}
         return (await self.deployment.call(ip, "POST", job, body)).status
--- a/tests/test_planner_streams.py
+++ b/tests/test_planner_streams.py
@@ -12,7 +12,8 @@
 from jacinthloom_daemon.hosted.planner_client import PlannerClient
 from jacinthloom_daemon.hosted.planner_server import PlannerServer
 
-from testkit.hosted.deployment import find_free_ports
+from testkit.hosted.deployment import PEER_PORT
+from testkit.loopback import reserve_loopback_ip
 
 
 class FakePlanner:
@@ -32,8 +33,7 @@
     """The streams of one entry process."""
 
     def __init__(self, name: str, processors: float = 1.0) -> None:
-        (port,) = find_free_ports(1)
-        self.address = f"127.0.0.1:{port}"
+        self.address = f"{reserve_loopback_ip()}:{PEER_PORT}"
         self.election = Election(name, self.address, processors)
         self.learned_terms: list[Term] = []
         self.claim_check_requested = asyncio.Event()
