Keep a third of the members for fast requests for advice

Cause: the advice service handles one request of each host at a time. Requests for large jobs take 0.6 to 1.4 s, and after a takeover or beside a burst of large jobs they occupied every member.

Change: requests expected to take 0.4 s or more may occupy two thirds of the members; fast ones have a queue of their own.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/advice.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/advice.py
@@ -27,6 +27,14 @@
 RETRY_S = 0.3
 """Seconds until a failed request is repeated."""
 
+SLOW_REQUEST_S = 0.4
+"""Expected duration from which a request counts as slow: requests for lookups take a
+tenth of that or less."""
+
+FAST_ONLY_SHARE = 3
+"""One member in this many sends no slow requests, so that others need not wait for the
+long answers."""
+
 
 @dataclass(frozen=True, slots=True)
 class Ticket:
@@ -74,6 +82,15 @@
     workers: tuple[str, ...] = field(compare=False)
     policy: AdvicePolicy = field(compare=False)
 
+    @property
+    def duration_s(self) -> float:
+        """Seconds that the service is expected to take."""
+        return self.policy.base_s + self.policy.per_worker_s * len(self.workers)
+
+    @property
+    def is_slow(self) -> bool:
+        return self.duration_s >= SLOW_REQUEST_S
+
 
 @dataclass(frozen=True, slots=True)
 class _InFlight:
@@ -81,6 +98,7 @@
 
     step: StepId
     deadline: float
+    is_slow: bool
 
 
 class AdviceRequests:
@@ -92,7 +110,8 @@
     def __init__(self) -> None:
         self.advice_by_step: dict[StepId, StepAdvice] = {}
         self._in_flight_by_member: dict[str, _InFlight | None] = {}
-        self._waiting: list[_QueuedRequest] = []
+        self._waiting_fast: list[_QueuedRequest] = []
+        self._waiting_slow: list[_QueuedRequest] = []
         self._last_number = 0
 
     def find(self, step: StepId) -> StepAdvice:
@@ -115,31 +134,39 @@
         self._last_number += 1
         candidates = workers[:MAX_CANDIDATES]
         request = _QueuedRequest(rank, self._last_number, step, candidates, policy)
-        heapq.heappush(self._waiting, request)
+        waiting = self._waiting_slow if request.is_slow else self._waiting_fast
+        heapq.heappush(waiting, request)
 
     def dispatch(self, now: float) -> list[RequestAdvice]:
-        """Return the requests to send now, one for each idle member."""
-        idle = [
-            name
-            for name, in_flight in self._in_flight_by_member.items()
-            if not in_flight
-        ]
+        """Return the requests to send now, one for each idle member.
+
+        Slow requests are passed over while they occupy their share of the members.
+        """
+        in_flight = self._in_flight_by_member
+        idle = [name for name, request in in_flight.items() if not request]
+        slow = sum(1 for request in in_flight.values() if request and request.is_slow)
+        max_slow = len(in_flight) - len(in_flight) // FAST_ONLY_SHARE
         effects = []
-        while idle and self._waiting:
-            request = heapq.heappop(self._waiting)
-            if request.step not in self.advice_by_step:
-                continue
-            member = idle.pop()
-            policy = request.policy
-            duration_s = policy.base_s + policy.per_worker_s * len(request.workers)
-            timeout_s = duration_s + ANSWER_MARGIN_S
-            in_flight = _InFlight(request.step, now + 2 * timeout_s)
-            self._in_flight_by_member[member] = in_flight
-            effects.append(
-                RequestAdvice(member, request.step, request.workers, timeout_s)
-            )
+        while idle and (request := self._pop_next(slow < max_slow)):
+            if request.step in self.advice_by_step:
+                slow += request.is_slow
+                effects.append(self._send(request, idle.pop(), now))
         return effects
 
+    def _pop_next(self, allows_slow: bool) -> _QueuedRequest | None:
+        queues = (self._waiting_fast, self._waiting_slow if allows_slow else [])
+        waiting = [queue for queue in queues if queue]
+        if not waiting:
+            return None
+        return heapq.heappop(min(waiting, key=lambda queue: queue[0]))
+
+    def _send(self, request: _QueuedRequest, member: str, now: float) -> RequestAdvice:
+        timeout_s = request.duration_s + ANSWER_MARGIN_S
+        self._in_flight_by_member[member] = _InFlight(
+            request.step, now + 2 * timeout_s, request.is_slow
+        )
+        return RequestAdvice(member, request.step, request.workers, timeout_s)
+
     def expire(self, now: float) -> list[str]:
         """Abandon requests that were not answered in time.
 
