Claim at once on the restarted host of the planner, and read until then only

Cause: after all processes were killed, the planner's host came back after 0.9 s and the new process waited until its own predecessor had been silent for 1.1 s, although that one was certainly gone. Other members found the host listening again, so the shorter wait for hosts that refuse connections did not apply. Reads of the election log also waited up to 0.4 s beyond the moment at which a claim was due.

Change: a member that finds its own address in the newest claim may claim at once, unless much larger hosts are known. A read waits at most until a claim is due, and a refused connection to the planner checks once per term.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
@@ -193,15 +193,39 @@
             return False
         if now < self._claims_suspended_until:
             return False
-        defer_s = DEFER_S if self.has_larger_alternative else 0.0
         if self.term is None:
             wait_s = 0.0 if self._started_after_claim else OLDER_MEMBER_DELAY_S
-            return now - self._released_at >= wait_s + defer_s
-        if defer_s <= now - self._abdicated_at < ABDICATION_S:
+            return now - self._released_at >= wait_s + self._defer_s
+        if self._defer_s <= now - self._abdicated_at < ABDICATION_S:
             return True
+        return self.compute_claim_wait_s(now) <= 0
+
+    @property
+    def _succeeds_own_process(self) -> bool:
+        """Whether the planner was an earlier process at the address of this one.
+
+        That process is gone, or this one could not listen at its address.
+        """
+        term = self.term
+        return (
+            term is not None
+            and term.member != self.member
+            and term.address == self.address
+        )
+
+    @property
+    def _defer_s(self) -> float:
+        return DEFER_S if self.has_larger_alternative else 0.0
+
+    def compute_claim_wait_s(self, now: float) -> float:
+        """Return for how many more seconds the planner must be silent before a claim."""
+        if self.term is None:
+            return 0.0
+        if self._succeeds_own_process and not self.has_larger_alternative:
+            return 0.0
         is_suspect = self.term.number == self._suspect_term
         timeout_s = SUSPECT_CLAIM_AFTER_S if is_suspect else CLAIM_AFTER_S
-        return now - self._silent_since >= timeout_s + defer_s
+        return self._silent_since + timeout_s + self._defer_s - now
 
     def on_term_learned(self, term: Term) -> bool:
         """Adopt a term that another member has read, if it is newer.
@@ -218,9 +242,14 @@
         self.term = term
         return True
 
-    def on_connection_refused(self, term: int) -> None:
-        """Record that the host of a term's planner refuses connections."""
+    def on_connection_refused(self, term: int) -> bool:
+        """Record that the host of a term's planner refuses connections.
+
+        :returns: whether this is the first time in that term
+        """
+        is_first = self._suspect_term != term
         self._suspect_term = term
+        return is_first
 
     def on_abdicated(self, term: int, now: float) -> None:
         """Record that the planner of a term can't write to the store."""
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/elections.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/elections.py
@@ -35,6 +35,9 @@
 RETRY_INTERVAL_S = 0.15
 """Seconds until a failed call is retried."""
 
+MIN_READ_WAIT_S = 0.02
+"""Minimum seconds that a read waits for a record after the first one."""
+
 ABDICATE_AFTER_S = 0.8
 """Seconds since the last renewal after which a planner that can't write abdicates: a
 slow store responds within half a second."""
@@ -94,7 +97,7 @@
 
     async def _read_or_interrupt(self) -> ReadRecords | None:
         """Read the next records; return None if a claim check is requested first."""
-        wait_s = READ_WAIT_S if self._position else 0.0
+        wait_s = self._compute_read_wait_s()
         read = asyncio.create_task(
             self._store.read(topics.ELECTION, self._position, wait_s)
         )
@@ -107,6 +110,15 @@
             read.cancel()
             interrupted.cancel()
 
+    def _compute_read_wait_s(self) -> float:
+        """Return how long to wait for records: at most until a claim is due."""
+        if not self._position:
+            return 0.0
+        due_s = self._election.compute_claim_wait_s(time.monotonic())
+        if self._election.is_planner or not self.claims_enabled or due_s <= 0:
+            return READ_WAIT_S
+        return min(READ_WAIT_S, max(MIN_READ_WAIT_S, due_s))
+
     async def _step(self) -> None:
         read = await self._read_or_interrupt()
         if read is None:
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_client.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_client.py
@@ -47,7 +47,8 @@
 
     :param on_advice_order: queries the advice service for the planner
     :param on_term_learned: called with a newer term that another member reported
-    :param on_abdicated: called when the planner can't write to the store
+    :param check_claim: called when the planner can't write to the store, or its host
+        refuses connections, so that this member may claim sooner
     """
 
     def __init__(
@@ -57,12 +58,12 @@
         election: Election,
         address: str,
         on_term_learned: Callable[[Term], None],
-        on_abdicated: Callable[[], None],
+        check_claim: Callable[[], None],
     ) -> None:
         self._member = member
         self._address = address
         self._on_term_learned = on_term_learned
-        self._on_abdicated = on_abdicated
+        self._check_claim = check_claim
         self._peer_query_requested = asyncio.Event()
         self._peers: tuple[str, ...] = ()
         self._term: Term | None = None
@@ -196,8 +197,9 @@
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
                     reader, writer = await asyncio.open_connection(host, int(port))
             except (OSError, TimeoutError) as error:
-                if isinstance(error, ConnectionRefusedError):
-                    self._election.on_connection_refused(term.number)
+                is_refused = isinstance(error, ConnectionRefusedError)
+                if is_refused and self._election.on_connection_refused(term.number):
+                    self._check_claim()
                 await asyncio.sleep(RECONNECT_INTERVAL_S)
                 continue
             log.write("planner_connected", term=term.number, member=term.member)
@@ -236,7 +238,7 @@
                 elif isinstance(message, messages.Abdicated):
                     log.write("planner_abdicated", term=message.term)
                     self._election.on_abdicated(message.term, time.monotonic())
-                    self._on_abdicated()
+                    self._check_claim()
         finally:
             pings.cancel()
 
--- a/tests/planner/test_election.py
+++ b/tests/planner/test_election.py
@@ -62,6 +62,28 @@
         election.on_connection_refused(1)
         self.assertTrue(election.may_claim(SUSPECT_CLAIM_AFTER_S))
 
+    def test_restarted_host_of_the_planner_claims_at_once(self) -> None:
+        restarted = Election("m1b", "10.0.0.1:1")
+        restarted.on_read([(0, CLAIM), (1, RENEWAL)], 2, 0.0, 1_100)
+        self.assertTrue(restarted.may_claim(0.0))
+        other = Election("m2", "10.0.0.2:1")
+        other.on_read([(0, CLAIM), (1, RENEWAL)], 2, 0.0, 1_100)
+        self.assertFalse(other.may_claim(0.0))
+
+    def test_restarted_small_host_leaves_the_claim_to_larger_ones(self) -> None:
+        restarted = Election("m1b", "10.0.0.1:1", 0.5)
+        restarted.largest_processors = 2.0
+        restarted.on_read([(0, CLAIM), (1, RENEWAL)], 2, 0.0, 1_000)
+        self.assertFalse(restarted.may_claim(0.0))
+
+    def test_wait_for_a_claim_shrinks_with_the_silence_of_the_planner(self) -> None:
+        election = make_follower(0.4)
+        wait_s = CLAIM_AFTER_S - 0.4
+        self.assertAlmostEqual(election.compute_claim_wait_s(0.4), wait_s)
+        election.on_connection_refused(1)
+        wait_s = SUSPECT_CLAIM_AFTER_S - 0.4
+        self.assertAlmostEqual(election.compute_claim_wait_s(0.4), wait_s)
+
     def test_planner_that_abdicates_lets_others_claim(self) -> None:
         election = make_follower(0.4)
         election.on_abdicated(1, 0.4)
