Rank jobs beyond a client account's share behind those within the shares

Cause: the weight of a client account, which is its share when the fleet is full, was read and never used.

Change: a token bucket of the weight in jobs a second marks what an account submits beyond it. Such jobs rank behind the jobs of others that are worth something, and run when there is room. A successor marks them again by the time of submission. A gang that waits reserves its part of the account's limit against steps that rank behind it. The client account of each accepted job, and whether it is beyond the share, are logged.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
@@ -218,7 +218,7 @@
         return DEFER_S if self.has_larger_alternative else 0.0
 
     def compute_claim_wait_s(self, now: float) -> float:
-        """Return for how many more seconds the planner must be silent before a claim."""
+        """Return how many more seconds of silence allow this member to claim."""
         if self.term is None:
             return 0.0
         if self._succeeds_own_process and not self.has_larger_alternative:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/intake.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/intake.py
@@ -54,12 +54,20 @@
             state.effects.append(Reply(event.call, BAD_REQUEST, problem))
             return
         job = Job(spec)
+        job.is_beyond_share = state.shares.is_beyond(
+            spec.tenant, spec.received_ms, state.rules
+        )
         state.job_by_id[spec.id] = job
         state.store_queue(spec.queue)
         state.batches.pending.jobs[spec.id] = job
         state.batches.pending.calls_by_job[spec.id] = [event.call]
         state.note(
-            "job_accepted", job=spec.id, queue=spec.queue, rules=state.rules.version
+            "job_accepted",
+            job=spec.id,
+            queue=spec.queue,
+            client_account=spec.tenant,
+            beyond_share=job.is_beyond_share,
+            rules=state.rules.version,
         )
         self.open_job(job)
 
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
@@ -152,6 +152,8 @@
     :param is_final_stored: whether the final state is stored
     :param has_started: whether any task of it has been started
     :param final_at: time at which the final state was decided
+    :param is_beyond_share: whether its client account submitted more jobs than it is
+        entitled to when the fleet is full
     """
 
     spec: JobSpec
@@ -162,6 +164,7 @@
     is_final_stored: bool = False
     has_started: bool = False
     final_at: float = 0.0
+    is_beyond_share: bool = False
 
     @property
     def is_over(self) -> bool:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/order.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/order.py
@@ -18,6 +18,15 @@
 LASTING_PRIORITY = -1
 """Priority of tasks that run until their job is cancelled: ahead of every queue."""
 
+WITHIN_SHARE_LEVELS = (0, 1, 4)
+BEYOND_SHARE_LEVELS = (2, 3, 5)
+"""Rank of jobs that are on time, late, and so late that they earn nothing. Jobs beyond
+the share of their client account follow those that are worth something to the others.
+"""
+
+HOPELESS_LEVELS = frozenset({WITHIN_SHARE_LEVELS[2], BEYOND_SHARE_LEVELS[2]})
+"""Levels of jobs that earn nothing any more."""
+
 Rank = tuple[int, int, float]
 
 
@@ -33,7 +42,7 @@
 
 
 class LatestStartOrder(OrderPolicy):
-    """Orders by lateness, then priority, then the latest start that is on time.
+    """Orders by share and lateness, then priority, then the latest start in time.
 
     :param run_times: predicts how long tasks take
     """
@@ -42,10 +51,10 @@
         self._run_times = run_times
 
     def rank(self, step: StepRun, queue: Queue, now_ms: int) -> Rank:
-        """Return the lateness, the priority, and the latest start in Unix seconds.
+        """Return the level, the priority, and the latest start in Unix seconds.
 
-        The lateness is 0 within the objective, 1 beyond it, and 2 beyond
-        ``LATE_FACTOR`` times the objective.
+        The level depends on the share of the client account, and on whether the step
+        is within its objective, beyond it, or beyond ``LATE_FACTOR`` times it.
         """
         if not step.objective_s:
             self._set_objective(step, queue)
@@ -57,7 +66,9 @@
             lateness = 1
         if age_s > LATE_FACTOR * step.objective_s:
             lateness = 2
-        return (lateness, queue.priority, step.latest_start_s)
+        is_beyond = step.occurrence.job.is_beyond_share
+        levels = BEYOND_SHARE_LEVELS if is_beyond else WITHIN_SHARE_LEVELS
+        return (levels[lateness], queue.priority, step.latest_start_s)
 
     def _set_objective(self, step: StepRun, queue: Queue) -> None:
         """Set the objective of a step once, since estimates change only slowly."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
@@ -212,6 +212,9 @@
                 worker.poll_due = min(worker.poll_due, now)
 
     def _on_rules(self, event: events.RulesChanged) -> None:
+        if not self.state.rules.version:
+            loaded = list(self.state.job_by_id.values())
+            self.state.shares.classify(loaded, event.rules)
         self.state.rules = event.rules
         self.state.queue_by_name.update(event.rules.queue_by_name)
         self.state.needs_pass = True
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/scheduler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/scheduler.py
@@ -8,11 +8,13 @@
 from .advice_candidates import choose_candidates
 from .effects import Start
 from .jobs import TaskState
+from .order import HOPELESS_LEVELS
 from .placement import place_gang, place_tasks
 from .reservations import Reservations
 from .sharing import may_share
 
 if TYPE_CHECKING:
+    from ..model.resources import Resources
     from .advice import StepAdvice
     from .fleet import Worker
     from .jobs import StepRun, Task
@@ -66,6 +68,7 @@
         self._state = state
         self._order = order
         self._reservations = Reservations()
+        self._reserved_limits: list[tuple[str, Resources, int]] = []
         self._drained_gangs = 0
         self.reason_by_step: dict[StepId, str] = {}
         """Why steps were not placed, or not entirely, in the last pass."""
@@ -80,7 +83,24 @@
         usable = self._group_usable(now)
         for rank, step, queue in self._sort_ready():
             self._schedule_step(step, queue, rank, usable.get(queue.service, []), now)
+            if step.spec.gang and rank[0] not in HOPELESS_LEVELS:
+                self._reserve_limit(step)
         self._reservations.release()
+        for client_account, size, count in self._reserved_limits:
+            self._state.add_usage(client_account, size, -count)
+        self._reserved_limits.clear()
+
+    def _reserve_limit(self, step: StepRun) -> None:
+        """Keep later steps of a client account off the limit that a gang waits for.
+
+        Smaller tasks would otherwise take each part of the limit as soon as it is free.
+        """
+        spec, account = step.spec, step.occurrence.job.spec.tenant
+        if len(step.list_waiting()) < spec.count:
+            return
+        if self._state.count_allowed_when_idle(account, spec.size) >= spec.count:
+            self._state.add_usage(account, spec.size, spec.count)
+            self._reserved_limits.append((account, spec.size, spec.count))
 
     def _group_usable(self, now: float) -> dict[str, list[Worker]]:
         """Return the workers that may be given tasks, by service."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/state.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/state.py
@@ -13,6 +13,7 @@
 from .jobs import FINAL_STATES, JobState, TaskState, find_ready_steps
 from .rules import Rules
 from .run_times import RunTimes
+from .shares import SubmissionShares
 from .speed import WorkerSpeeds
 
 if TYPE_CHECKING:
@@ -63,6 +64,7 @@
         self.advice_requests = AdviceRequests()
         self.worker_speeds = WorkerSpeeds()
         self.run_times = RunTimes()
+        self.shares = SubmissionShares()
         self.batches = BatchQueue()
         self.effects: list[Effect] = []
         self.counters: Counter[str] = Counter()
@@ -101,14 +103,15 @@
         task.incarnation = worker.incarnation
         worker.task_by_id[task.id] = task
         worker.reserve(spec.size, spec.fills)
-        self._add_usage(task, 1)
+        self.add_usage(task.step.occurrence.job.spec.tenant, spec.size, 1)
 
     def release(self, task: Task) -> None:
         """Free the resources of a task whose run has certainly ended."""
         worker = self.worker_by_id.get(task.worker)
         if worker is not None and worker.task_by_id.pop(task.id, None) is not None:
-            worker.release(task.step.spec.size, task.step.spec.fills)
-            self._add_usage(task, -1)
+            size = task.step.spec.size
+            worker.release(size, task.step.spec.fills)
+            self.add_usage(task.step.occurrence.job.spec.tenant, size, -1)
         task.worker = ""
         task.has_unknown_outcome = False
         task.is_stopping = False
@@ -117,20 +120,31 @@
         self.unknown_start_by_id.pop(task.id, None)
         self.needs_pass = True
 
-    def _add_usage(self, task: Task, sign: int) -> None:
-        size = task.step.spec.size
-        client_account = task.step.occurrence.job.spec.tenant
+    def add_usage(self, client_account: str, size: Resources, count: int) -> None:
+        """Count tasks of a size against the limit of a client account.
+
+        :param count: number of tasks; negative to subtract them
+        """
         usage = self.usage_by_client_account.setdefault(client_account, [0, 0, 0])
-        usage[0] += sign * size.processors
-        usage[1] += sign * size.memory
-        usage[2] += sign * size.accelerators
+        usage[0] += count * size.processors
+        usage[1] += count * size.memory
+        usage[2] += count * size.accelerators
 
     def count_allowed(self, client_account: str, size: Resources) -> int:
         """Return how many more tasks of a size a client account may run."""
+        used = self.usage_by_client_account.get(client_account, [0, 0, 0])
+        return self._count_within_limit(client_account, size, used)
+
+    def count_allowed_when_idle(self, client_account: str, size: Resources) -> int:
+        """Return how many tasks of a size a client account may run at most."""
+        return self._count_within_limit(client_account, size, [0, 0, 0])
+
+    def _count_within_limit(
+        self, client_account: str, size: Resources, used: list[int]
+    ) -> int:
         account = self.rules.client_account_by_name.get(client_account)
         if account is None:
             return 1 << 30
-        used = self.usage_by_client_account.get(client_account, [0, 0, 0])
         limit = account.limit
         rows = (
             (limit.processors, used[0], size.processors),
