Poll a worker with unstored ends after 0.1 s, and then less and less often

Cause: a worker that waits for the acknowledgement of an end lists it again at once, so polls can't wait there for the next end; the next one was sent after 0.8 s, or when the end was stored. While the store answers in 0.3 s, every worker is in that state most of the time, and ends were noticed 0.3 s late in the median.

Change: the next poll follows after 0.1 s, and the delay doubles up to 0.8 s as long as nothing is stored.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/reconciler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/reconciler.py
@@ -31,8 +31,12 @@
 """Seconds for which a worker waits for a run to end before it answers a poll: a third
 of the shortest lease in use."""
 
-UNSTORED_POLL_S = 0.8
-"""Seconds until the next poll while ends are waiting to be stored."""
+UNSTORED_POLL_S = 0.1
+"""Seconds until the next poll while ends are waiting to be stored: the worker lists
+them again at once, so it can't wait for the next end. Doubles with each such poll."""
+
+MAX_UNSTORED_POLL_S = 0.8
+"""Maximum seconds until the next poll while the store is unreachable."""
 
 POLL_RETRY_S = 0.3
 """Seconds until a failed poll is repeated."""
@@ -155,8 +159,12 @@
         if new_ends:
             end = StoredEnd(worker.id, worker.incarnation, worker.seen_end)
             self._state.batches.pending.ends.append(end)
-        if worker.seen_end != worker.cursor:
-            worker.poll_due = event.now + UNSTORED_POLL_S
+        if worker.seen_end == worker.cursor:
+            worker.unstored_polls = 0
+            return
+        delay_s = UNSTORED_POLL_S * 2**worker.unstored_polls
+        worker.poll_due = event.now + min(MAX_UNSTORED_POLL_S, delay_s)
+        worker.unstored_polls += delay_s < MAX_UNSTORED_POLL_S
 
     def _reconcile_runs(self, worker: Worker, event: WorkerPolled) -> None:
         progress_by_run = {
--- a/tests/planner/test_slow_store.py
+++ b/tests/planner/test_slow_store.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 
 from jacinthloom_core.model.resources import Resources
 from jacinthloom_core.planner import effects, events
 from jacinthloom_core.planner.planner import Planner
 from jacinthloom_core.planner.rules import AdvicePolicy, ClientAccount, Queue, Rules
-from jacinthloom_core.planner.specs import JobSpec, StepSpec
+from jacinthloom_core.planner.specs import JobSpec, StepSpec, TaskId
 from jacinthloom_core.planner.state import PlannerSettings
 
 from .test_takeover import ENTRY, answer_poll
@@ -52,6 +53,34 @@
         placed = planner.state.worker_by_id["w1"].task_by_id
         self.assertEqual(len(placed), JOBS)
 
+    def test_ends_are_noticed_while_earlier_ones_are_being_stored(self) -> None:
+        planner = Planner(PlannerSettings(1, 6.0, 120.0))
+        planner.load({}, 0.0, 0)
+        planner.handle(events.RulesChanged(0.0, RULES))
+        planner.handle(events.WorkerListed(0.0, ENTRY))
+        answer_poll(planner, 0.1)
+        step = StepSpec(2, Resources(1, 1), 0.5)
+        job = JobSpec("a" * 16, "q", "t", "text", (step,), 200)
+        planner.handle(events.JobSubmitted(0.2, 1, job))
+        worker = planner.state.worker_by_id["w1"]
+        ended = events.RunEnd(1, TaskId(job.id, 0, 0, 0), 1, events.EndKind.DONE, "")
+        polled = events.WorkerPolled(
+            1.0, "w1", 0.9, worker.token, 5, 1000, (), (ended,)
+        )
+        planner.handle(polled)
+        # The store does not answer, and the worker lists the end again in each poll.
+        polls: list[float] = []
+        now = 1.0
+        while now < 4.0:
+            now += 0.01
+            emitted = planner.handle(events.Tick(now, int(now * 1000)))
+            if any(isinstance(effect, effects.PollWorker) for effect in emitted):
+                polls.append(now)
+                planner.handle(replace(polled, now=now, sent_at=now))
+        self.assertLess(polls[0], 1.15)
+        self.assertLess(polls[1], 1.35)
+        self.assertLess(len(polls), 8)
+
 
 if __name__ == "__main__":
     unittest.main()
