--- a/packages/jacinthloom-cli/src/jacinthloom_cli/__main__.py
+++ b/packages/jacinthloom-cli/src/jacinthloom_cli/__main__.py
@@ -34,12 +34,17 @@
 """Commands in the order in which they are registered."""
 
 
-def main() -> int:
-    """Run the command-line application and return its exit code."""
+def make_application() -> Application:
+    """Return the command-line application with all commands."""
     application = Application("jacinthloom", VERSION)
     for command in COMMANDS:
         application.add(command())
-    return int(application.run())
+    return application
+
+
+def main() -> int:
+    """Run the command-line application and return its exit code."""
+    return int(make_application().run())
 
 
 if __name__ == "__main__":
--- a/packages/jacinthloom-cli/src/jacinthloom_cli/client.py
+++ b/packages/jacinthloom-cli/src/jacinthloom_cli/client.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from jacinthloom_wire.checks import CheckError, Problem
 from jacinthloom_wire.errors import TransportError, WireError
 from jacinthloom_wire.http_client import HttpClient
 
@@ -24,6 +25,22 @@
 """Environment variable with the operators' key."""
 
 
+MAX_PORT = 65_535
+
+
+def check_address(text: str) -> str:
+    """Return an address of an entry process without surrounding spaces.
+
+    :raises CheckError: if it is not ``host:port``
+    """
+    host, _, port = text.strip().rpartition(":")
+    is_number = port.isascii() and port.isdigit()
+    if not host or not is_number or not 0 < int(port) <= MAX_PORT:
+        problem = Problem("address", repr(text), "host:port, such as 10.0.0.1:8400")
+        raise CheckError("entries", [problem])
+    return text.strip()
+
+
 class UnreachableError(WireError):
     """No entry process responded."""
 
@@ -59,10 +76,12 @@
         :param entries: comma-separated addresses; if empty, the environment's value
             or ``127.0.0.1:8400`` is used
         :param for_operator: whether to use the operators' key
+        :raises CheckError: if an address is not ``host:port``
         """
         listed = entries or os.environ.get(ENTRIES_VARIABLE, "127.0.0.1:8400")
         variable = OPERATOR_KEY_VARIABLE if for_operator else KEY_VARIABLE
-        return cls(listed.split(","), os.environ.get(variable, ""))
+        addresses = [check_address(address) for address in listed.split(",")]
+        return cls(addresses, os.environ.get(variable, ""))
 
     @property
     def addresses(self) -> list[str]:
--- a/packages/jacinthloom-cli/src/jacinthloom_cli/operator_commands.py
+++ b/packages/jacinthloom-cli/src/jacinthloom_cli/operator_commands.py
@@ -84,8 +84,13 @@
         if body["missing"]:
             text += f"; not yet at {', '.join(body['missing'])}"
         self.show(body, text)
-        codes = {"accepted": EXIT_OK, "refused": EXIT_CONFLICT}
-        return codes.get(body["state"], EXIT_UNKNOWN)
+        return find_change_exit_code(body)
+
+
+def find_change_exit_code(body: dict[str, Any]) -> int:
+    """Return the exit code for the outcome of a change."""
+    codes = {"accepted": EXIT_OK, "refused": EXIT_CONFLICT}
+    return codes.get(body["state"], EXIT_UNKNOWN)
 
 
 class KeyGrantCommand(OperatorCommand):
@@ -108,11 +113,15 @@
         secret = secrets.token_urlsafe(SECRET_BYTES)
         key_hash = KeyHash.from_secret(key_id, secrets.token_hex(8), secret)
         response = self.publish_on_latest(client, KeyGrant(team, key_hash))
-        code = self.show_change(response) if not self.option("json") else EXIT_OK
+        key = f"{key_id}.{secret}"
+        if self.option("json") and not response.is_error:
+            code = find_change_exit_code(response.body)
+            granted = {} if code == EXIT_CONFLICT else {"key": key}
+            self.show({**granted, **response.body}, "")
+            return code
+        code = self.show_change(response)
         if code in (EXIT_OK, EXIT_UNKNOWN) and not response.is_error:
-            self.show(
-                {"key": f"{key_id}.{secret}", **response.body}, f"{key_id}.{secret}"
-            )
+            self.line(key)
         return code
 
 
--- a/packages/jacinthloom-cli/src/jacinthloom_cli/timeline_command.py
+++ b/packages/jacinthloom-cli/src/jacinthloom_cli/timeline_command.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any, ClassVar
 
 from cleo.helpers import option
+from jacinthloom_wire.checks import CheckError, Problem
 
 from .base import COMMON_OPTIONS, EXIT_OK, EXIT_UNREACHABLE
 from .operator_commands import OperatorCommand, list_member_addresses, query_member
@@ -36,6 +37,7 @@
 
     def run_command(self, client: EntryClient) -> int:
         """Fetch, merge, filter and print the timelines."""
+        last = parse_line_count(self.option("last"))
         lines: list[dict[str, Any]] = []
         answered = 0
         for address in list_member_addresses(self, client):
@@ -47,7 +49,7 @@
             self.line_error("no entry process returned its timeline")
             return EXIT_UNREACHABLE
         merged = [line for line in merge_lines(lines) if self._matches(line)]
-        shown = merged[-int(self.option("last")) :]
+        shown = merged[-last:]
         self.show({"lines": shown}, "\n".join(format_line(line) for line in shown))
         return EXIT_OK
 
@@ -63,6 +65,18 @@
         return not team or line["team"] == team
 
 
+def parse_line_count(text: str) -> int:
+    """Return the number of lines to show.
+
+    :raises CheckError: if the text is not a positive whole number
+    """
+    is_number = text.isascii() and text.isdigit()
+    if not is_number or int(text) == 0:
+        problem = Problem("--last", repr(text), "a positive whole number")
+        raise CheckError("arguments", [problem])
+    return int(text)
+
+
 def merge_lines(lines: list[dict[str, Any]]) -> list[dict[str, Any]]:
     """Sort lines so that each cause precedes its effects.
 
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/fleet.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/fleet.py
@@ -65,7 +65,8 @@
     :param answered_at: time of the last response to a poll
     :param failed_polls: polls that failed since the last response
     :param is_suspect: whether starts went unanswered since the last list of runs
-    :param foreign_runs: sizes of the listed runs that were not placed on the worker
+    :param foreign_runs: listed runs that were not placed on the worker, with the size
+        of each and whether it uses only idle processor time
     :param consecutive_failures: failed runs of different tasks since the last success
     :param slowness: run time relative to a typical worker
     """
@@ -90,7 +91,9 @@
     failed_polls: int = 0
     is_suspect: bool = False
     task_by_id: dict[TaskId, Task] = field(default_factory=dict)
-    foreign_runs: dict[tuple[TaskId, int], Resources] = field(default_factory=dict)
+    foreign_runs: dict[tuple[TaskId, int], tuple[Resources, bool]] = field(
+        default_factory=dict
+    )
     free_processors: int = 0
     free_memory: int = 0
     free_accelerators: int = 0
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/intake.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/intake.py
@@ -72,16 +72,16 @@
         self.open_job(job)
 
     def _refuse(self, job_id: str, calls: list[int], now: float) -> None:
-        """Reply to callers that a job was refused as the store is unreachable."""
+        """Reply to callers that a job was refused as the store accepts no writes."""
         state = self._state
         stalled_s = now - state.batches.stalled_since
         state.note(
             "job_refused",
             job=job_id,
-            reason="store unreachable",
+            reason="store accepts no writes",
             stalled_s=round(stalled_s, 2),
         )
-        reason = "the store is unreachable; the job was not accepted"
+        reason = "the store accepts no writes; the job was not accepted"
         retry_s = compute_retry_after_s(stalled_s)
         state.effects += [Reply(call, UNAVAILABLE, reason, retry_s) for call in calls]
 
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/reconciler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/reconciler.py
@@ -178,7 +178,7 @@
                 self._reconcile_unlisted(task, worker, event)
         for task_id, run in list(worker.foreign_runs):
             if (task_id, run) not in progress_by_run:
-                worker.release(worker.foreign_runs.pop((task_id, run)))
+                worker.release(*worker.foreign_runs.pop((task_id, run)))
         for progress in progress_by_run.values():
             self._stop_foreign(worker, progress)
 
@@ -228,8 +228,9 @@
             task = self._find_task(progress.task)
             assert worker.entry is not None
             size = task.step.spec.size if task else worker.entry.capacity
-            worker.foreign_runs[key] = size
-            worker.reserve(size)
+            fills = task is not None and task.step.spec.fills
+            worker.foreign_runs[key] = (size, fills)
+            worker.reserve(size, fills)
             self._state.note(
                 "foreign_run", task=list(progress.task), run=progress.run, on=worker.id
             )
--- a/packages/jacinthloom-core/src/jacinthloom_core/worker_owners/placement.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/worker_owners/placement.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from collections import Counter
 from itertools import chain, islice
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator, Mapping
+    from collections.abc import Callable, Iterable, Iterator, Mapping
 
     from ..model.work import WorkSpec
     from .workers import Worker, WorkerIndex
@@ -44,7 +45,8 @@
             and spec.need.fits_in(worker.free)
             and usable(worker)
         )
-        return self._prefer(spec, list(islice(fitting, self._candidate_limit)))
+        candidates = list(islice(fitting, self._candidate_limit))
+        return self._prefer(spec, candidates, worker_by_name.values())
 
     _candidate_limit = 1
     """Maximum number of fitting workers to choose among."""
@@ -53,14 +55,21 @@
         return index.iterate_tightest(spec.need.processors)
 
     @abstractmethod
-    def _prefer(self, spec: WorkSpec, fitting: list[Worker]) -> Worker | None:
-        """Return the best of a few workers with enough free capacity."""
+    def _prefer(
+        self, spec: WorkSpec, fitting: list[Worker], workers: Iterable[Worker]
+    ) -> Worker | None:
+        """Return the best of a few workers with enough free capacity.
+
+        :param workers: all workers, whether they have free capacity or not
+        """
 
 
 class BatchPlacement(PlacementPolicy):
     """Pack batch work on the fullest worker with enough free capacity."""
 
-    def _prefer(self, spec: WorkSpec, fitting: list[Worker]) -> Worker | None:
+    def _prefer(
+        self, spec: WorkSpec, fitting: list[Worker], workers: Iterable[Worker]
+    ) -> Worker | None:
         return fitting[0] if fitting else None
 
 
@@ -69,17 +78,36 @@
 
 
 class ServicePlacement(PlacementPolicy):
-    """Spread the tasks of a service: prefer the worker that has fewest of them."""
+    """Spread the tasks of a service over zones, then racks, then workers."""
 
     _candidate_limit = SERVICE_CANDIDATES
 
     def _iterate(self, spec: WorkSpec, index: WorkerIndex) -> Iterator[str]:
         return index.iterate_emptiest(spec.need.processors)
 
-    def _prefer(self, spec: WorkSpec, fitting: list[Worker]) -> Worker | None:
+    def _prefer(
+        self, spec: WorkSpec, fitting: list[Worker], workers: Iterable[Worker]
+    ) -> Worker | None:
         if not fitting:
             return None
-        return min(fitting, key=lambda worker: _count_job(spec.job, worker))
+        count_by_zone: Counter[str] = Counter()
+        count_by_rack: Counter[str] = Counter()
+        for worker in workers:
+            count = _count_job(spec.job, worker)
+            count_by_zone[worker.info.zone] += count
+            count_by_rack[_rack(worker)] += count
+        return min(
+            fitting,
+            key=lambda worker: (
+                count_by_zone[worker.info.zone],
+                count_by_rack[_rack(worker)],
+                _count_job(spec.job, worker),
+            ),
+        )
+
+
+def _rack(worker: Worker) -> str:
+    return worker.name.rpartition("/")[0]
 
 
 def _count_job(job: str, worker: Worker) -> int:
@@ -93,7 +121,9 @@
     def _iterate(self, spec: WorkSpec, index: WorkerIndex) -> Iterator[str]:
         return index.iterate_emptiest(spec.need.processors)
 
-    def _prefer(self, spec: WorkSpec, fitting: list[Worker]) -> Worker | None:
+    def _prefer(
+        self, spec: WorkSpec, fitting: list[Worker], workers: Iterable[Worker]
+    ) -> Worker | None:
         return fitting[0] if fitting else None
 
 
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_runner.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_runner.py
@@ -269,7 +269,14 @@
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._on_task_done)
+
+    def _on_task_done(self, task: asyncio.Task[None]) -> None:
+        """End the term if a call raised: the planner would wait for its event."""
+        self._tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            log.write_failure("planner_failed", error)
+            self.end("a call raised an exception")
 
     async def _append(self, store: effects.Store) -> None:
         began = time.perf_counter()
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/client_calls.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/client_calls.py
@@ -103,7 +103,8 @@
 
 def _read_time_budget(request: Request) -> float:
     text = request.headers.get(TIME_BUDGET_HEADER, "")
-    return int(text) / 1000 if text.isdigit() else DEFAULT_TIME_BUDGET_S
+    is_number = text.isascii() and text.isdigit()
+    return int(text) / 1000 if is_number else DEFAULT_TIME_BUDGET_S
 
 
 def build_response(
--- a/tests/test_golden.py
+++ b/tests/test_golden.py
@@ -12,5 +12,7 @@
 
     def test_session_is_as_recorded(self) -> None:
         recorded = SESSION_PATH.read_text().splitlines()
-        for number, line in enumerate(record_session().splitlines()):
-            self.assertEqual(line, recorded[number], f"line {number + 1}")
+        lines = record_session().splitlines()
+        for number, (line, expected) in enumerate(zip(lines, recorded, strict=False)):
+            self.assertEqual(line, expected, f"line {number + 1}")
+        self.assertEqual(len(lines), len(recorded), "number of lines")
