Withhold starts while the planner's renewal is late, and keep the placement

Cause: under a slow store a renewal is acknowledged after 0.65 s, so the planner has authority for only part of the time. A start that was due meanwhile was reported as not sent, like one to a worker that can't be reached: the worker got no more starts until its next poll, and the task was placed and stored again, which takes another 1.2 s and outlives its ticket.

Change: such a start is withheld, and sent again with the same run at the next tick unless the worker, the ticket or the job rules it out by then, for at most 1 s. The log tells for each ended job how long it took and what its objective allowed.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/events.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/events.py
@@ -41,7 +41,9 @@
     UNKNOWN = "unknown"
     """No response: the start may have taken effect, or may still do so."""
     NOT_SENT = "not_sent"
-    """No part of the request was sent."""
+    """No part of the request was sent, as the worker can't be reached."""
+    WITHHELD = "withheld"
+    """Nothing was sent, as another member may have become the planner meanwhile."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
@@ -171,6 +171,12 @@
         """Whether the final state is decided, so that no more tasks may start."""
         return self.outcome is not None
 
+    @property
+    def objective_s(self) -> float:
+        """Seconds that the objective allows; 0 if no step was ranked yet."""
+        steps = (s for o in self.occurrences.values() for s in o.steps)
+        return max((step.objective_s for step in steps), default=0.0)
+
     @property
     def has_placements(self) -> bool:
         """Whether a worker may still run any of the job's tasks."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
@@ -258,6 +258,7 @@
         for member in state.advice_requests.expire(event.now):
             state.note("advice_expired", member=member)
         self._retry_starts(event.now)
+        self._scheduler.retry_withheld(event.now)
         self._explain_waiting(event.now)
         self._drop_expired_jobs(event.now)
 
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/reconciler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/reconciler.py
@@ -264,6 +264,9 @@
         if task.state is not TaskState.STARTING:
             return
         outcome = event.outcome
+        if outcome is StartOutcome.WITHHELD:
+            self._on_withheld(task, event.now)
+            return
         if outcome is StartOutcome.STARTED:
             task.state = TaskState.RUNNING
             task.confirmed_at = event.now
@@ -291,6 +294,14 @@
         else:
             self._requeue_refused(task, worker, event)
 
+    def _on_withheld(self, task: Task, now: float) -> None:
+        """Send the start again soon: the planner's renewal may just be slow."""
+        self._state.counters["start_withheld"] += 1
+        if task.has_unknown_outcome:
+            task.retry_at = now + START_RETRY_S
+        else:
+            self._state.withheld_start_by_id[task.id] = task
+
     def _retry_or_stop(self, task: Task, worker: Worker, event: StartAnswered) -> None:
         task.has_unknown_outcome = True
         self._state.unknown_start_by_id[task.id] = task
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/scheduler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/scheduler.py
@@ -23,6 +23,10 @@
     from .specs import StepId
     from .state import PlannerState
 
+MAX_WITHHELD_S = 1.0
+"""Maximum seconds for which a start is withheld: the members of a gang that have
+started wait only a few seconds for the others."""
+
 MAX_DRAINED_GANGS = 3
 """Maximum number of gangs for which workers are drained at the same time: a gang that
 waits for the last of its workers leaves capacity idle on the others."""
@@ -289,6 +293,26 @@
             if is_member and task.state is TaskState.STARTING:
                 self._state.stop(task)
 
+    def retry_withheld(self, now: float) -> None:
+        """Send the starts that were withheld, or place the tasks again."""
+        withheld = self._state.withheld_start_by_id
+        tasks = list(withheld.values())
+        withheld.clear()
+        for task in tasks:
+            if task.state is not TaskState.STARTING:
+                continue
+            reason = self._find_start_obstacle(task, now)
+            if not reason and now - task.placed_at > MAX_WITHHELD_S:
+                reason = "this planner has had no authority for too long"
+            if not reason:
+                self.send_start(task, now)
+                continue
+            self._state.note(
+                "start_dropped", task=list(task.id), run=task.run, reason=reason
+            )
+            self._state.requeue(task)
+            self._state.abort_gang(task)
+
     def _find_start_obstacle(self, task: Task, now: float) -> str:
         """Return why a placed task may not start, or an empty string."""
         worker = self._state.worker_by_id[task.worker]
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/state.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/state.py
@@ -61,6 +61,8 @@
         self.timed_by_id: dict[str, Job] = {}
         self.usage_by_client_account: dict[str, list[int]] = {}
         self.unknown_start_by_id: dict[tuple[str, int, int, int], Task] = {}
+        self.withheld_start_by_id: dict[tuple[str, int, int, int], Task] = {}
+        """Stored placements whose start was not sent for lack of authority."""
         self.advice_requests = AdviceRequests()
         self.worker_speeds = WorkerSpeeds()
         self.run_times = RunTimes()
@@ -118,6 +120,7 @@
         task.placed_at = 0.0
         task.barred_at = float("inf")
         self.unknown_start_by_id.pop(task.id, None)
+        self.withheld_start_by_id.pop(task.id, None)
         self.needs_pass = True
 
     def add_usage(self, client_account: str, size: Resources, count: int) -> None:
@@ -232,4 +235,10 @@
             self.store_occurrence(occurrence)
             for step in occurrence.steps:
                 self.close_step(step)
-        self.note("job_ended", job=job.spec.id, outcome=outcome.value)
+        self.note(
+            "job_ended",
+            job=job.spec.id,
+            outcome=outcome.value,
+            took_s=round((self.wall_ms - job.spec.received_ms) / 1000, 2),
+            objective_s=round(job.objective_s, 2),
+        )
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_runner.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_runner.py
@@ -333,7 +333,7 @@
 
     async def _start(self, start: effects.Start) -> None:
         client = self._find_client(start.worker, start.address)
-        outcome = events.StartOutcome.NOT_SENT
+        outcome = events.StartOutcome.WITHHELD
         if self._has_authority():
             outcome = await client.start(start)
         self.handle(
--- a/tests/planner/test_slow_store.py
+++ b/tests/planner/test_slow_store.py
@@ -1,4 +1,7 @@
-"""Advice for a burst of jobs is requested while the store is slow to acknowledge."""
+"""Load: a burst of jobs while the store is slow to acknowledge.
+
+Advice is requested, ends are noticed and placements are kept meanwhile.
+"""
 
 from __future__ import annotations
 
@@ -12,7 +15,14 @@
 from jacinthloom_core.planner.specs import JobSpec, StepSpec, TaskId
 from jacinthloom_core.planner.state import PlannerSettings
 
-from .test_takeover import ENTRY, answer_poll
+from .test_takeover import (
+    ENTRY,
+    Store,
+    answer_poll,
+    find_starts,
+    make_planner,
+    store_batches,
+)
 
 ADVICE = AdvicePolicy(0.01, 0.0, 2.0)
 RULES = Rules(
@@ -81,6 +91,57 @@
         self.assertLess(polls[1], 1.35)
         self.assertLess(len(polls), 8)
 
+    def start_job(self, planner: Planner, store: Store) -> list[effects.Start]:
+        planner.handle(events.MemberJoined(0.1, "m"))
+        step = StepSpec(1, Resources(1, 1), 0.5)
+        job = JobSpec("a" * 16, "free", "t", "text", (step,), 200)
+        emitted = planner.handle(events.JobSubmitted(0.2, 1, job))
+        return find_starts(store_batches(planner, store, emitted, 0.2))
+
+    def make_free_planner(self, store: Store) -> Planner:
+        queue = Queue("free", "h", "/f/", "service", 0, 2, 1.5, 0.25)
+        planner = make_planner(
+            1, store, 0.0, replace(RULES, queue_by_name={"free": queue})
+        )
+        answer_poll(planner, 0.1)
+        return planner
+
+    def withhold(self, planner: Planner, start: effects.Start, now: float) -> None:
+        outcome = events.StartOutcome.WITHHELD
+        planner.handle(
+            events.StartAnswered(now, start.worker, start.task, start.run, outcome)
+        )
+
+    def test_withheld_start_is_sent_again_without_another_placement(self) -> None:
+        store = Store()
+        planner = self.make_free_planner(store)
+        (start,) = self.start_job(planner, store)
+        self.withhold(planner, start, 0.3)
+        self.assertTrue(planner.state.worker_by_id["w1"].is_usable(0.3))
+        emitted = planner.handle(events.Tick(0.35, 350))
+        again = find_starts(emitted)
+        self.assertEqual([(s.task, s.run) for s in again], [(start.task, start.run)])
+        self.assertEqual(store.append_batches(emitted), [])
+
+    def test_start_that_is_withheld_for_too_long_is_placed_again(self) -> None:
+        store = Store()
+        planner = self.make_free_planner(store)
+        (start,) = self.start_job(planner, store)
+        self.withhold(planner, start, 0.3)
+        emitted = planner.handle(events.Tick(2.0, 2000))
+        self.assertEqual(find_starts(emitted), [])
+        emitted = store_batches(planner, store, emitted, 2.0)
+        self.assertEqual([s.run for s in find_starts(emitted)], [start.run + 1])
+
+    def test_withheld_start_of_a_cancelled_job_is_not_sent(self) -> None:
+        store = Store()
+        planner = self.make_free_planner(store)
+        (start,) = self.start_job(planner, store)
+        self.withhold(planner, start, 0.3)
+        planner.handle(events.CancelRequested(0.31, 2, start.task.job))
+        emitted = planner.handle(events.Tick(0.35, 350))
+        self.assertEqual(find_starts(emitted), [])
+
 
 if __name__ == "__main__":
     unittest.main()
