Keep the planner through an outage of the store, and report only live ones

Change: a member ignores such an announcement while it can't read the store either. A planner is reported as unreachable only if it renewed its claim 0.7 s or more after the connection was lost, and not if its host refuses connections: a dead one is replaced by a claim.

Measured: the new election tests fail without the changes.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
@@ -35,6 +35,10 @@
 UNREACHABLE_REPORT_TTL_S = 2.0
 """Seconds for which a report that the planner is unreachable stays valid."""
 
+RENEWED_AFTER_LOSS_S = 0.7
+"""Seconds from the loss of a connection after which a renewal shows that the planner is
+alive: two renewal intervals, or one and the delay of a slow store."""
+
 REPORT_UNREACHABLE_AFTER_S = 0.8
 """Seconds without a connection to the planner after which a member reports it as
 unreachable."""
@@ -58,6 +62,10 @@
 READ_WAIT_S = 0.4
 """Seconds that a read waits for a record; slightly more than between two renewals."""
 
+STORE_CONTACT_S = 0.8
+"""Seconds since the last response to a read for which the store counts as reachable: a
+long poll, and the delay of a slow store."""
+
 READ_GAP_S = 1.4
 """Seconds without a response after which reading counts as interrupted."""
 
@@ -252,8 +260,13 @@
         return is_first
 
     def on_abdicated(self, term: int, now: float) -> None:
-        """Record that the planner of a term can't write to the store."""
-        if self.term is not None and self.term.number == term:
+        """Record that the planner of a term can't write to the store.
+
+        Ignored while this member can't read the store either: the store is down for
+        both, and the planner that is in place goes on sooner than a new one.
+        """
+        reads_store = now - self._answered_at <= STORE_CONTACT_S
+        if self.term is not None and self.term.number == term and reads_store:
             self._abdicated_at = now
 
     def abdicate(self) -> None:
@@ -288,9 +301,18 @@
         """Suspend claims by this member, in favour of members that others can reach."""
         self._claims_suspended_until = now + CLAIM_SUSPENSION_S
 
-    def sees_renewals(self, now: float) -> bool:
-        """Whether the planner of the newest term has renewed its claim recently."""
-        return self.term is not None and now - self._silent_since < CLAIM_AFTER_S
+    def is_alive_without(self, lost_at: float, now: float) -> bool:
+        """Whether the planner goes on renewing although this member lost it.
+
+        A planner whose process is gone is replaced without reports, which would only
+        delay the claim: they append to the same log.
+
+        :param lost_at: time at which this member lost its connection to the planner
+        """
+        if self.term is None or self.term.number == self._suspect_term:
+            return False
+        has_renewed_since = self._silent_since >= lost_at + RENEWED_AFTER_LOSS_S
+        return has_renewed_since and now - self._silent_since < CLAIM_AFTER_S
 
     def reaches_store(self, now: float) -> bool:
         """Whether the election log could be read recently."""
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_client.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_client.py
@@ -127,7 +127,7 @@
         return (
             self.measure_outage_s() > REPORT_UNREACHABLE_AFTER_S
             and not self._election.is_planner
-            and self._election.sees_renewals(now)
+            and self._election.is_alive_without(self._disconnected_at, now)
         )
 
     async def call(
--- a/tests/planner/test_election.py
+++ b/tests/planner/test_election.py
@@ -93,6 +93,16 @@
         planner.abdicate()
         self.assertFalse(planner.has_authority(0.1))
 
+    def test_planner_goes_on_after_an_outage_of_the_store_for_all(self) -> None:
+        election = make_follower(0.4)
+        for tenth in range(15, 50):
+            election.on_abdicated(1, tenth / 10)
+        returned_at = 5.0
+        election.on_read([], 1, returned_at)
+        self.assertFalse(election.may_claim(returned_at))
+        election.on_read([(1, RENEWAL)], 2, returned_at + 0.3)
+        self.assertFalse(election.may_claim(returned_at + CLAIM_AFTER_S))
+
     def test_abdication_of_another_term_is_ignored(self) -> None:
         election = make_follower(0.4)
         election.on_abdicated(7, 0.4)
@@ -159,6 +169,23 @@
             election.on_read([(1 + number, report)], 2 + number, now)
         self.assertTrue(election.may_claim(0.6 + 0.4 * 3))
 
+    def test_dead_planner_is_not_reported_as_unreachable(self) -> None:
+        election = make_follower(0.2)
+        self.assertFalse(election.is_alive_without(0.0, 1.0))
+
+    def test_planner_that_renews_after_it_was_lost_is_reported(self) -> None:
+        election = make_follower(0.2)
+        election.on_read([(1, RENEWAL)], 2, 0.4)
+        self.assertFalse(election.is_alive_without(0.0, 0.9))
+        election.on_read([(2, RENEWAL)], 3, 0.75)
+        self.assertTrue(election.is_alive_without(0.0, 0.9))
+
+    def test_planner_that_refuses_connections_is_not_reported(self) -> None:
+        election = make_follower(0.2)
+        election.on_read([(1, RENEWAL)], 2, 0.75)
+        election.on_connection_refused(1)
+        self.assertFalse(election.is_alive_without(0.0, 0.9))
+
     def test_planner_unreachable_by_most_members_suspends_its_claims(self) -> None:
         planner = Election("m1", "10.0.0.1:1")
         planner.on_read([], 0, 0.0)
