--- a/testkit/planning/mutations.py
+++ b/testkit/planning/mutations.py
@@ -180,6 +180,17 @@
     intake.refuse_unstored = refuse
 
 
+def _withheld_starts_placed_again(planner: Any) -> None:
+    """Send withheld starts, and place their tasks again as well."""
+
+    def send_and_requeue(now: float) -> None:
+        for task in list(planner.state.withheld_start_by_id.values()):
+            planner._scheduler.send_start(task, now)
+            planner.state.requeue(task)
+
+    planner._scheduler.retry_withheld = send_and_requeue
+
+
 def _run_numbers_not_increased(planner: Any) -> None:
     """Give each run of a task the number 1."""
     record_placement = planner._scheduler._record_placement
@@ -206,6 +217,7 @@
         _spread_ignored,
         _refused_jobs_stored,
         _run_numbers_not_increased,
+        _withheld_starts_placed_again,
     )
 }
 """Functions that put one fault into a planner, by name."""
--- a/testkit/planning/world.py
+++ b/testkit/planning/world.py
@@ -44,6 +44,7 @@
 
     :param lost: share of commands to workers whose answer is lost
     :param late: share of commands that are executed 2 to 12 seconds late
+    :param withheld: share of starts that a planner withholds for lack of authority
     :param jobs: number of jobs that are submitted
     :param workers: number of workers
     """
@@ -51,6 +52,7 @@
     seed: int
     lost: float = 0.03
     late: float = 0.03
+    withheld: float = 0.05
     jobs: int = 60
     workers: int = 6
 
@@ -148,6 +150,7 @@
         make_planner: Callable[[PlannerSettings], Planner] = Planner,
     ) -> None:
         self.random = Random(scenario.seed)
+        self._authority_random = Random(f"authority {scenario.seed}")
         self.scenario = scenario
         self.make_planner = make_planner
         self.clock = VirtualClock()
@@ -420,6 +423,9 @@
         execute: Callable[[PlannerProcess, VirtualWorker, object, bool], None],
     ) -> None:
         worker = self.workers[command.worker]
+        if isinstance(command, effects.Start) and self._draws_withheld_start():
+            self._report_withheld(process, command)
+            return
         draw = self.random.random() if self.has_faults else 1.0
         latency = NETWORK_LATENCY_S * self.random.uniform(0.5, 3)
         if self._is_partitioned(worker) or not worker.is_up:
@@ -445,6 +451,24 @@
 
             self.clock.after(latency, arrive)
 
+    def _draws_withheld_start(self) -> bool:
+        if not self.has_faults:
+            return False
+        return self._authority_random.random() < self.scenario.withheld
+
+    def _report_withheld(self, process: PlannerProcess, start: effects.Start) -> None:
+        """Answer a start that the process does not send, for lack of authority."""
+        self._handle_later(
+            process,
+            lambda: events.StartAnswered(
+                self.clock.now,
+                start.worker,
+                start.task,
+                start.run,
+                StartOutcome.WITHHELD,
+            ),
+        )
+
     def _execute_unanswered(
         self,
         worker: VirtualWorker,
