--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
@@ -62,10 +62,6 @@
 READ_WAIT_S = 0.4
 """Seconds that a read waits for a record; slightly more than between two renewals."""
 
-STORE_CONTACT_S = 0.8
-"""Seconds since the last response to a read for which the store counts as reachable: a
-long poll, and the delay of a slow store."""
-
 READ_GAP_S = 1.4
 """Seconds without a response after which reading counts as interrupted."""
 
@@ -260,13 +256,8 @@
         return is_first
 
     def on_abdicated(self, term: int, now: float) -> None:
-        """Record that the planner of a term can't write to the store.
-
-        Ignored while this member can't read the store either: the store is down for
-        both, and the planner that is in place goes on sooner than a new one.
-        """
-        reads_store = now - self._answered_at <= STORE_CONTACT_S
-        if self.term is not None and self.term.number == term and reads_store:
+        """Record that the planner of a term can't write to the store."""
+        if self.term is not None and self.term.number == term:
             self._abdicated_at = now
 
     def abdicate(self) -> None:
