--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,13 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: install check test demo bench capacity planning golden clean
+# The users' bench, and the folder of its site files; neither is part of this repository.
+FLEETBENCH ?=
+SITES ?=
+REGRESSION_SITES := large/tmu-retail-large further-grown/hanbit-loom-grown \
+	further/hanbit-loom grown/tmu-retail-grown grown/surtido-norte-grown
+
+.PHONY: install check test demo bench capacity planning regression golden clean
 
 $(STAMP): requirements.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -33,6 +39,12 @@
 planning: $(STAMP)
 	$(BIN)/python -m bench.planning
 
+regression:
+	test -n "$(FLEETBENCH)" -a -n "$(SITES)"
+	for site in $(REGRESSION_SITES); do \
+		$(FLEETBENCH) score $(SITES)/$$site.toml --quick --jobs 3 --why "regression run" || exit 1; \
+	done
+
 golden: $(STAMP)
 	$(BIN)/python -m tests.golden --update
 
