--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/fleet.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/fleet.py
@@ -46,6 +46,22 @@
     remaining_s: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class WorkerLoss:
+    """Loss of contact with one incarnation of a worker.
+
+    :param answered_at: time of its last response to a poll; minus infinity if there was
+        none
+    :param noticed_at: time at which a poll failed, or a later incarnation answered
+    """
+
+    worker: str
+    incarnation: int
+    rack: str
+    answered_at: float
+    noticed_at: float
+
+
 @dataclass(slots=True)
 class Worker:
     """State of a worker as the planner knows it.
@@ -64,6 +80,7 @@
     :param poll_due: time at which the next poll may be sent
     :param answered_at: time of the last response to a poll
     :param failed_polls: polls that failed since the last response
+    :param loss: loss of contact that is not over, or whose runs are not yet requeued
     :param is_suspect: whether starts went unanswered since the last list of runs
     :param foreign_runs: listed runs that were not placed on the worker, with the size
         of each and whether it uses only idle processor time
@@ -89,6 +106,7 @@
     poll_due: float = 0.0
     answered_at: float = float("-inf")
     failed_polls: int = 0
+    loss: WorkerLoss | None = None
     is_suspect: bool = False
     task_by_id: dict[TaskId, Task] = field(default_factory=dict)
     foreign_runs: dict[tuple[TaskId, int], tuple[Resources, bool]] = field(
@@ -168,6 +186,14 @@
             and not self.is_suspect
         )
 
+    def lose_contact(self, now: float) -> None:
+        """Record that contact with this incarnation was lost, unless that is known."""
+        if self.loss is None:
+            rack = self.entry.rack if self.entry else ""
+            self.loss = WorkerLoss(
+                self.id, self.incarnation, rack, self.answered_at, now
+            )
+
     def compute_deadline_ms(self, now: float, lease_s: float) -> int:
         """Return the time ``lease_s`` seconds from now on the worker's clock."""
         return int(self.clock_ms + (now - self.clock_at + lease_s) * 1000)
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
@@ -40,6 +40,19 @@
     DONE = 4
 
 
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """Loss of a worker that ran a task.
+
+    :param incarnation: incarnation of the worker that was lost
+    :param is_fresh: whether the worker was lost before it had outlived the task's start
+    """
+
+    worker: str
+    incarnation: int
+    is_fresh: bool
+
+
 @dataclass(slots=True)
 class Task:
     """State of one task.
@@ -63,6 +76,7 @@
     :param barred_at: time from which the worker can't start the run any more: if a
         later list lacks the run, it will never start
     :param failed_on: workers on which it has failed
+    :param crashes: workers that were lost while they ran it
     """
 
     id: TaskId
@@ -85,6 +99,7 @@
     barred_at: float = float("inf")
     retry_at: float = 0.0
     failed_on: set[str] = field(default_factory=set)
+    crashes: list[Crash] = field(default_factory=list)
 
     @property
     def is_waiting(self) -> bool:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/reconciler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/reconciler.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from .batches import StoredEnd
+from .crashes import CrashRecorder
 from .effects import PollWorker, StepDown, Stop
 from .events import StartOutcome, WorkerPolled
 from .jobs import TaskState
@@ -51,6 +52,7 @@
     def __init__(self, state: PlannerState, intake: Intake) -> None:
         self._state = state
         self._run_end_handler = RunEndHandler(state, intake)
+        self._crash_recorder = CrashRecorder(state)
 
     def send_polls(self, now: float, checks_all: bool) -> None:
         """Send the polls that are due.
@@ -101,6 +103,7 @@
         worker = self._state.mark_changed(event.worker)
         worker.is_polling = False
         worker.failed_polls += 1
+        worker.lose_contact(event.now)
         worker.poll_due = event.now + POLL_RETRY_S
         if event.fenced:
             self._state.effects.append(StepDown(f"fenced by {event.worker}"))
@@ -133,8 +136,12 @@
 
         A new incarnation is given a new token, which the next poll carries.
         """
-        if event.incarnation != worker.incarnation:
+        if event.incarnation == worker.incarnation:
+            worker.loss = None
+        else:
             is_first = worker.incarnation == 0
+            if not is_first:
+                worker.lose_contact(event.now)
             worker.incarnation = event.incarnation
             worker.cursor = 0
             worker.confirmed_cursor = 0
@@ -170,6 +177,17 @@
         progress_by_run = {
             (progress.task, progress.run): progress for progress in event.running
         }
+        self._requeue_lost_with_worker(
+            worker,
+            [
+                task
+                for task in worker.task_by_id.values()
+                if task.incarnation != event.incarnation
+                and (task.id, task.run) not in progress_by_run
+            ],
+            "worker restarted",
+            event.now,
+        )
         for task in list(worker.task_by_id.values()):
             progress = progress_by_run.pop((task.id, task.run), None)
             if progress is not None:
@@ -207,17 +225,31 @@
     ) -> None:
         if task.state is TaskState.PLACED:
             return
-        if task.incarnation != event.incarnation:
-            self._requeue_lost(task, "worker restarted")
-        elif task.state is TaskState.STARTING:
+        if task.state is TaskState.STARTING:
             if event.sent_at > task.barred_at:
                 self._requeue_lost(task, "start did not take effect")
         elif event.sent_at > task.confirmed_at:
             self._requeue_lost(task, "no longer listed")
 
+    def _requeue_lost_with_worker(
+        self, worker: Worker, tasks: list[Task], reason: str, now: float
+    ) -> None:
+        """Requeue the tasks that an incarnation of a worker ran when it was lost."""
+        lost = [task for task in tasks if task.state is not TaskState.PLACED]
+        if not lost:
+            return
+        self._crash_recorder.record(worker, lost, reason, now)
+        for task in lost:
+            self._requeue_lost(task, reason)
+
     def _requeue_lost(self, task: Task, reason: str) -> None:
         self._state.note(
-            "run_lost", task=list(task.id), run=task.run, on=task.worker, reason=reason
+            "run_lost",
+            task=list(task.id),
+            run=task.run,
+            on=task.worker,
+            reason=reason,
+            losses=len(task.crashes),
         )
         self._state.requeue(task)
         self._state.abort_gang(task)
@@ -361,6 +393,5 @@
                 continue
             if not worker.is_out_of_contact:
                 continue
-            for task in list(worker.task_by_id.values()):
-                if task.state is not TaskState.PLACED:
-                    self._requeue_lost(task, "lease expired")
+            tasks = list(worker.task_by_id.values())
+            self._requeue_lost_with_worker(worker, tasks, "lease expired", now)
