--- a/testkit/planning/rule_checker.py
+++ b/testkit/planning/rule_checker.py
@@ -18,6 +18,13 @@
 """Seconds after an acknowledged cancel after which no task of the job may start."""
 
 
+MAX_CRASHES = 3
+"""Workers that a task may crash before its starts are counted."""
+
+MAX_STARTS_AFTER_CRASHES = 2
+"""Starts that a task is allowed after it has crashed ``MAX_CRASHES`` workers."""
+
+
 class RuleViolationError(AssertionError):
     """An invariant does not hold."""
 
@@ -48,6 +55,9 @@
         """Failed runs of each gang; for other steps, the highest count of any task."""
         self._failures_by_task: Counter[TaskId] = Counter()
         self._acknowledged_failures: dict[TaskId, list[float]] = defaultdict(list)
+        self.crashes_by_task: Counter[TaskId] = Counter()
+        """Workers that each task has crashed."""
+        self._starts_after_crashes: Counter[TaskId] = Counter()
         self._last_started_at: dict[TaskId, float] = {}
         self.usage_by_client_account: dict[str, int] = defaultdict(int)
         """Processors of running tasks, in millicores."""
@@ -86,6 +96,7 @@
             and not step.lasting
         ):
             raise RuleViolationError(f"{task} starts after its last attempt failed")
+        self._count_start_after_crashes(task)
         self._last_started_at[task] = now
         self.running[task] = (worker, start.run)
         self.usage_by_client_account[spec.tenant] += step.size.processors
@@ -112,6 +123,20 @@
         if worker.count_used_processors() > worker.capacity.processors:
             raise RuleViolationError(f"{worker.id} runs more than its capacity allows")
 
+    def _count_start_after_crashes(self, task: TaskId) -> None:
+        if self.crashes_by_task[task] < MAX_CRASHES:
+            return
+        self._starts_after_crashes[task] += 1
+        if self._starts_after_crashes[task] > MAX_STARTS_AFTER_CRASHES:
+            raise RuleViolationError(
+                f"{task} has crashed {self.crashes_by_task[task]} workers, "
+                f"and is started again"
+            )
+
+    def on_crash(self, task: TaskId) -> None:
+        """Record that a task crashes the worker on which it runs."""
+        self.crashes_by_task[task] += 1
+
     def on_end(self, task: TaskId, kind: EndKind) -> None:
         """Record the end of a run."""
         self.running.pop(task, None)
--- a/testkit/planning/worker.py
+++ b/testkit/planning/worker.py
@@ -13,6 +13,7 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
     from jacinthloom_core.model.resources import Resources
@@ -31,6 +32,9 @@
 GANG_TIMEOUT_S = 3.0
 """Seconds that a member of a gang waits for the other members."""
 
+DEADLY_PAYLOAD = "deadly"
+"""Payload of jobs whose first task in each step crashes the workers that start it."""
+
 
 @dataclass(slots=True)
 class _Run:
@@ -80,13 +84,19 @@
         checker: RuleChecker,
         gang_registry: GangRegistry,
         random: Random,
+        on_deadly_start: Callable[[VirtualWorker, TaskId], None] = lambda *_: None,
     ) -> None:
+        """Create a worker that is up.
+
+        :param on_deadly_start: called when a task starts that crashes its workers
+        """
         self.id = name
         self.capacity = capacity
         self._clock = clock
         self._checker = checker
         self._gang_registry = gang_registry
         self._random = random
+        self._on_deadly_start = on_deadly_start
         self.incarnation = 1
         self.is_up = True
         self.fails_all = False
@@ -130,6 +140,10 @@
         self._token = 0
         self._lease_ms = 0.0
 
+    def runs(self, task: TaskId) -> bool:
+        """Whether a task is running."""
+        return task in self._run_by_task
+
     def restart(self) -> None:
         """Come up again under the same name, in the incarnation after a crash."""
         self.is_up = True
@@ -154,6 +168,8 @@
         self._run_by_task[start.task] = run
         self._highest_run_by_task[start.task] = start.run
         self._checker.on_start(self, start, self._clock.now)
+        if self._is_deadly(start.task):
+            self._on_deadly_start(self, start.task)
         step = self._checker.find_step(start.task)
         if not step.gang:
             self._begin_work(start.task, run)
@@ -182,9 +198,14 @@
         is_poisoned = "poison" in self._checker.job_by_id[task.job].payload
         fails = self.fails_all or is_poisoned or self._random.random() < 0.02
         kind = EndKind.FAILED if fails else EndKind.DONE
-        if not self._checker.find_step(task).lasting or fails:
+        never_ends = self._checker.find_step(task).lasting or self._is_deadly(task)
+        if not never_ends or fails:
             self._clock.after(duration_s, lambda: self._finish(task, run, kind))
 
+    def _is_deadly(self, task: TaskId) -> bool:
+        payload = self._checker.job_by_id[task.job].payload
+        return payload == DEADLY_PAYLOAD and task.position == 0
+
     def _time_out_gang(self, task: TaskId, run: _Run) -> None:
         if not run.is_working:
             self._finish(task, run, EndKind.GANG_INCOMPLETE)
--- a/testkit/planning/world.py
+++ b/testkit/planning/world.py
@@ -19,12 +19,13 @@
 
 from .clock import VirtualClock
 from .rule_checker import RuleChecker
-from .worker import GangRegistry, VirtualWorker
+from .worker import DEADLY_PAYLOAD, GangRegistry, VirtualWorker
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from jacinthloom_core.planner.effects import Effect
+    from jacinthloom_core.planner.specs import TaskId
 
 LEASE_S = 6.0
 NETWORK_LATENCY_S = 0.004
@@ -47,6 +48,9 @@
     :param withheld: share of starts that a planner withholds for lack of authority
     :param jobs: number of jobs that are submitted
     :param workers: number of workers
+    :param faults: number of faults that are injected
+    :param deadly: share of jobs with tasks that crash the workers that start them
+    :param deadly_delay_s: seconds from such a start to the crash
     """
 
     seed: int
@@ -55,6 +59,9 @@
     withheld: float = 0.05
     jobs: int = 60
     workers: int = 6
+    faults: int = 12
+    deadly: float = 0.0
+    deadly_delay_s: float = 0.01
 
 
 class VirtualStore:
@@ -151,6 +158,7 @@
     ) -> None:
         self.random = Random(scenario.seed)
         self._authority_random = Random(f"authority {scenario.seed}")
+        self._deadly_random = Random(f"deadly {scenario.seed}")
         self.scenario = scenario
         self.make_planner = make_planner
         self.clock = VirtualClock()
@@ -160,16 +168,10 @@
         self.gang_registry = GangRegistry(self.checker)
         self.rules = _make_rules()
         self.workers = {
-            f"w{number}": VirtualWorker(
-                f"w{number}",
-                Resources(1_000, 1_000),
-                self.clock,
-                self.checker,
-                self.gang_registry,
-                self.random,
-            )
+            f"w{number}": self._make_worker(f"w{number}")
             for number in range(scenario.workers)
         }
+        self._gone_workers: dict[str, VirtualWorker] = {}
         self._ticket_expires_at: dict[str, float] = {}
         self._partitioned_until: dict[str, float] = {}
         self._term = 0
@@ -180,6 +182,17 @@
         self.current_process: PlannerProcess | None = None
         self.fault_counts: dict[str, int] = {}
 
+    def _make_worker(self, name: str) -> VirtualWorker:
+        return VirtualWorker(
+            name,
+            Resources(1_000, 1_000),
+            self.clock,
+            self.checker,
+            self.gang_registry,
+            self.random,
+            self._on_deadly_start,
+        )
+
     @property
     def has_faults(self) -> bool:
         """Whether faults may still occur."""
@@ -206,7 +219,7 @@
             self.clock.after(
                 self.random.uniform(0.2, FAULTS_END_S), self._submit_random_job
             )
-        for _ in range(12):
+        for _ in range(self.scenario.faults):
             self.clock.after(self.random.uniform(1, FAULTS_END_S), self._inject_fault)
         self._enforce_leases()
         self.clock.run_until(SCENARIO_END_S)
@@ -223,10 +236,10 @@
                     f"{job} is {state} at the end of the scenario: "
                     f"{self.checker.job_by_id[job]} {planner_state.job_by_id[job]}"
                 )
-            if (
-                state == "failed"
-                and "poison" not in self.checker.job_by_id[job].payload
-            ):
+            payload = self.checker.job_by_id[job].payload
+            if payload == DEADLY_PAYLOAD and state == "completed":
+                raise AssertionError(f"{job} is completed, but can't be done")
+            if state == "failed" and payload == "text":
                 max_failures = max(
                     count
                     for step, count in self.checker.max_failures_by_step.items()
@@ -255,6 +268,8 @@
         steps = tuple(self._draw_step(number) for number in range(2))
         steps = steps[: self.random.choice((1, 1, 2))]
         payload = "poison" if self.random.random() < 0.1 else "text"
+        if self._deadly_random.random() < self.scenario.deadly:
+            payload = DEADLY_PAYLOAD
         client_account = f"t{self.random.randrange(3)}"
         queue = self.random.choice(("fast", "slow", "advised"))
         spec = JobSpec(
@@ -341,6 +356,48 @@
             worker.fails_all = True
             self.clock.after(duration_s, lambda: setattr(worker, "fails_all", False))
 
+    def _on_deadly_start(self, worker: VirtualWorker, task: TaskId) -> None:
+        delay_s = self.scenario.deadly_delay_s
+        incarnation = worker.incarnation
+        self.clock.after(
+            delay_s, lambda: self._crash_by_task(worker, task, incarnation)
+        )
+
+    def _crash_by_task(
+        self, worker: VirtualWorker, task: TaskId, incarnation: int
+    ) -> None:
+        """Crash a worker that still runs a task; half of them return renamed."""
+        if worker.incarnation != incarnation or not worker.runs(task):
+            return
+        self.checker.on_crash(task)
+        worker.crash()
+        down_s = self._deadly_random.uniform(3.0, 3.5)
+        if self._deadly_random.random() < 0.5:
+            self.clock.after(down_s, lambda: self._restart(worker))
+        else:
+            self.clock.after(down_s, lambda: self._replace(worker))
+
+    def _replace(self, worker: VirtualWorker) -> None:
+        """Start a worker under another name in place of one that is gone."""
+        name = f"{worker.id}'"
+        if worker.is_up or name in self.workers:
+            return
+        del self.workers[worker.id]
+        self._gone_workers[worker.id] = worker
+        self.workers[name] = self._make_worker(name)
+        process = self.current_process
+        if process is not None:
+            process.run(
+                lambda: process.handle(events.WorkerUnlisted(self.clock.now, worker.id))
+            )
+            entry = self.make_entry(self.workers[name])
+            process.run(
+                lambda: process.handle(events.WorkerListed(self.clock.now, entry))
+            )
+
+    def _find_worker(self, name: str) -> VirtualWorker:
+        return self.workers.get(name) or self._gone_workers[name]
+
     def _restore_store(self) -> None:
         self.store.is_down = False
         self.store.latency_factor = 1.0
@@ -422,7 +479,7 @@
         command: effects.Start | effects.Stop,
         execute: Callable[[PlannerProcess, VirtualWorker, object, bool], None],
     ) -> None:
-        worker = self.workers[command.worker]
+        worker = self._find_worker(command.worker)
         if isinstance(command, effects.Start) and self._draws_withheld_start():
             self._report_withheld(process, command)
             return
@@ -526,7 +583,7 @@
         )
 
     def _poll(self, process: PlannerProcess, poll: effects.PollWorker) -> None:
-        worker = self.workers[poll.worker]
+        worker = self._find_worker(poll.worker)
         sent_at = self.clock.now
         incarnation = worker.incarnation
 
