--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
@@ -76,7 +76,8 @@
     :param barred_at: time from which the worker can't start the run any more: if a
         later list lacks the run, it will never start
     :param failed_on: workers on which it has failed
-    :param crashes: workers that were lost while they ran it
+    :param crashes: workers that were lost while they ran it; stored, so that later
+        planners know them
     """
 
     id: TaskId
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
@@ -111,6 +111,9 @@
                     self._load_placement(task, now)
             if job.is_over:
                 continue
+            state.crashed_task_by_id.update(
+                (task.id, task) for task in job.tasks() if task.crashes
+            )
             self._intake.open_job(job)
             for occurrence in job.occurrences.values():
                 state.open_steps(occurrence)
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/reconciler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/reconciler.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from .batches import StoredEnd
-from .crashes import CrashRecorder
+from .crashes import CrashHandler
 from .effects import PollWorker, StepDown, Stop
 from .events import StartOutcome, WorkerPolled
 from .jobs import TaskState
@@ -52,7 +52,7 @@
     def __init__(self, state: PlannerState, intake: Intake) -> None:
         self._state = state
         self._run_end_handler = RunEndHandler(state, intake)
-        self._crash_recorder = CrashRecorder(state)
+        self._crash_handler = CrashHandler(state, intake)
 
     def send_polls(self, now: float, checks_all: bool) -> None:
         """Send the polls that are due.
@@ -137,7 +137,7 @@
         A new incarnation is given a new token, which the next poll carries.
         """
         if event.incarnation == worker.incarnation:
-            worker.loss = None
+            self._on_same_incarnation(worker)
         else:
             is_first = worker.incarnation == 0
             if not is_first:
@@ -156,6 +156,11 @@
                 return False
         return event.token == worker.token
 
+    def _on_same_incarnation(self, worker: Worker) -> None:
+        if worker.loss is not None and worker.loss.incarnation == worker.incarnation:
+            self._crash_handler.on_worker_returned(worker)
+        worker.loss = None
+
     def _reduce_ends(self, worker: Worker, event: WorkerPolled) -> None:
         new_ends = [
             run_end for run_end in event.ends if run_end.number > worker.seen_end
@@ -238,7 +243,7 @@
         lost = [task for task in tasks if task.state is not TaskState.PLACED]
         if not lost:
             return
-        self._crash_recorder.record(worker, lost, reason, now)
+        self._crash_handler.on_worker_lost(worker, lost, reason, now)
         for task in lost:
             self._requeue_lost(task, reason)
 
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/records.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/records.py
@@ -8,7 +8,7 @@
 import msgpack
 
 from ..model.resources import Resources
-from .jobs import Job, JobState, Occurrence, TaskState
+from .jobs import Crash, Job, JobState, Occurrence, TaskState
 from .rules import AdvicePolicy, Queue
 from .specs import JobSpec, StepSpec
 
@@ -118,6 +118,7 @@
     if occurrence.is_done:
         return Record(key, msgpack.packb([FORMAT, True]))
     steps: list[Any] = []
+    crashes: list[Any] = []
     for step in occurrence.steps:
         if step.is_done:
             steps.append(True)
@@ -136,7 +137,19 @@
             if task.run or task.failures
         ]
         steps.append([step.run, step.failures, step.failed_run, rows])
-    return Record(key, msgpack.packb([FORMAT, False, steps]))
+        crashes += [
+            [
+                step.id.step,
+                task.id.position,
+                [[c.worker, c.incarnation, c.is_fresh] for c in task.crashes],
+            ]
+            for task in step.tasks
+            if task.crashes
+        ]
+    fields = [FORMAT, False, steps]
+    if crashes:
+        fields.append(crashes)  # builds without this field ignore it
+    return Record(key, msgpack.packb(fields))
 
 
 def encode_removal(key: str) -> Record:
@@ -242,3 +255,6 @@
             elif worker:
                 task.state = TaskState.STARTING
                 task.has_unknown_outcome = True
+    for number, position, crashes in fields[3] if len(fields) > 3 else ():
+        task = occurrence.steps[number].tasks[position]
+        task.crashes = [Crash(*crash) for crash in crashes]
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/state.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/state.py
@@ -21,7 +21,7 @@
     from .effects import Effect
     from .jobs import Job, Occurrence, StepRun, Task
     from .rules import Queue
-    from .specs import StepId
+    from .specs import StepId, TaskId
 
 TOKENS_PER_TERM = 256
 """Fencing tokens of one planner for one worker; each incarnation it sees takes one."""
@@ -60,9 +60,11 @@
         self.ready_by_id: dict[StepId, StepRun] = {}
         self.timed_by_id: dict[str, Job] = {}
         self.usage_by_client_account: dict[str, list[int]] = {}
-        self.unknown_start_by_id: dict[tuple[str, int, int, int], Task] = {}
-        self.withheld_start_by_id: dict[tuple[str, int, int, int], Task] = {}
+        self.unknown_start_by_id: dict[TaskId, Task] = {}
+        self.withheld_start_by_id: dict[TaskId, Task] = {}
         """Stored placements whose start was not sent for lack of authority."""
+        self.crashed_task_by_id: dict[TaskId, Task] = {}
+        """Tasks under which workers were lost, unless their jobs are over."""
         self.advice_requests = AdviceRequests()
         self.worker_speeds = WorkerSpeeds()
         self.run_times = RunTimes()
@@ -235,6 +237,9 @@
             self.store_occurrence(occurrence)
             for step in occurrence.steps:
                 self.close_step(step)
+        for task in job.tasks():
+            if task.crashes:
+                self.crashed_task_by_id.pop(task.id, None)
         self.note(
             "job_ended",
             job=job.spec.id,
--- a/testkit/planning/worker.py
+++ b/testkit/planning/worker.py
@@ -198,8 +198,9 @@
         is_poisoned = "poison" in self._checker.job_by_id[task.job].payload
         fails = self.fails_all or is_poisoned or self._random.random() < 0.02
         kind = EndKind.FAILED if fails else EndKind.DONE
-        never_ends = self._checker.find_step(task).lasting or self._is_deadly(task)
-        if not never_ends or fails:
+        step = self._checker.find_step(task)
+        is_deadly = self._is_deadly(task._replace(position=0) if step.gang else task)
+        if not (step.lasting or is_deadly) or fails:
             self._clock.after(duration_s, lambda: self._finish(task, run, kind))
 
     def _is_deadly(self, task: TaskId) -> bool:
--- a/testkit/planning/world.py
+++ b/testkit/planning/world.py
@@ -240,10 +240,10 @@
             if payload == DEADLY_PAYLOAD and state == "completed":
                 raise AssertionError(f"{job} is completed, but can't be done")
             if state == "failed" and payload == "text":
+                counts = self.checker.max_failures_by_step
                 max_failures = max(
-                    count
-                    for step, count in self.checker.max_failures_by_step.items()
-                    if step.job == job
+                    (count for step, count in counts.items() if step.job == job),
+                    default=0,
                 )
                 if max_failures < MAX_ATTEMPTS:
                     raise AssertionError(
