--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/crashes.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/crashes.py
@@ -11,11 +11,14 @@
 from .jobs import Crash, JobState, TaskState
 
 if TYPE_CHECKING:
-    from .fleet import Worker
-    from .intake import Intake
+    from .fleet import Worker, WorkerLoss
     from .jobs import Task
     from .state import PlannerState
 
+LEASE_EXPIRED = "lease expired"
+RESTARTED = "worker restarted"
+REPLACED = "another worker has its address"
+
 SETTLE_S = 0.3
 """Seconds for which a worker has to outlive the start of a task until another cause is
 more likely if it crashes."""
@@ -24,24 +27,79 @@
 """Seconds of a run after which the earlier crashes of its task are forgotten: a task
 that crashes its workers would have crashed this one."""
 
+SLOW_SUSPECT_CRASHES = 3
+"""Crashes after which a task is suspected even if it had settled each time: it may
+crash its workers only after a while."""
+
 MAX_CRASHES = 4
 """Crashes after which a task is given up, whatever else may explain them."""
 
+MAX_MORE_STARTS = 2
+"""Starts that a task is allowed after ``SLOW_SUSPECT_CRASHES`` crashes."""
+
+MIN_BLAMED_CRASHES = 2
+"""Certain crashes, and crashes right after its start, for which an isolated task is
+given up."""
+
+SIMULTANEOUS_S = 0.1
+"""Maximum seconds between losses of workers that count as simultaneous."""
+
+MIN_SIMULTANEOUS_LOSSES = 4
+"""Simultaneous losses of workers from which a common cause is assumed."""
+
 
-def has_settled(task: Task, answered_at: float) -> bool:
+def is_suspect(task: Task) -> bool:
+    """Whether a task may have crashed a worker."""
+    crashes = task.crashes
+    return len(crashes) >= SLOW_SUSPECT_CRASHES or any(c.is_fresh for c in crashes)
+
+
+def compute_settle_s(task: Task) -> float:
+    """Return for how many seconds a worker has to outlive the start of a task."""
+    return FORGET_CRASHES_S if len(task.crashes) >= MIN_BLAMED_CRASHES else SETTLE_S
+
+
+def has_settled(task: Task, answered_at: float, settle_s: float | None = None) -> bool:
     """Whether a worker outlived the start of a task.
 
     :param answered_at: time of the worker's last response to a poll
+    :param settle_s: seconds that it has to outlive it, if not those of the task itself
     """
-    return bool(task.confirmed_at) and answered_at - task.confirmed_at >= SETTLE_S
+    if not task.confirmed_at:
+        return False
+    if settle_s is None:
+        settle_s = compute_settle_s(task)
+    return answered_at - task.confirmed_at >= settle_s
+
+
+def has_used_up_starts(task: Task) -> bool:
+    """Whether a task may not start again after the workers that were lost under it.
+
+    Starts count that ended otherwise, as in a gang with another suspect.
+    """
+    if len(task.crashes) < SLOW_SUSPECT_CRASHES:
+        return False
+    return task.run - task.crashes[SLOW_SUSPECT_CRASHES - 1].run >= MAX_MORE_STARTS
+
+
+def give_up(state: PlannerState, task: Task, now: float) -> None:
+    """Fail the job of a task that crashes the workers that start it."""
+    job = task.step.occurrence.job
+    if job.is_over:
+        return
+    state.note(
+        "task_given_up",
+        task=list(task.id),
+        crashed=[crash.worker for crash in task.crashes],
+    )
+    state.finish(job, JobState.FAILED, now)
 
 
 class CrashHandler:
     """Gives up tasks that crash the workers that start them."""
 
-    def __init__(self, state: PlannerState, intake: Intake) -> None:
+    def __init__(self, state: PlannerState) -> None:
         self._state = state
-        self._intake = intake
 
     def on_worker_lost(
         self, worker: Worker, lost: list[Task], reason: str, now: float
@@ -49,6 +107,7 @@
         """Record the loss of a worker, and give up the tasks that caused it.
 
         :param lost: tasks that it ran, which the caller requeues
+        :param reason: ``LEASE_EXPIRED``, ``RESTARTED`` or ``REPLACED``
         """
         loss = worker.loss
         answered_at = loss.answered_at if loss else float("-inf")
@@ -57,7 +116,7 @@
         if not is_leaving:
             affected = [task for task in lost if task.state is not TaskState.DONE]
         for task in affected:
-            _record_crash(task, worker, answered_at)
+            _record_crash(task, worker, answered_at, reason != LEASE_EXPIRED)
             self._state.crashed_task_by_id[task.id] = task
         self._state.note(
             "worker_lost",
@@ -69,25 +128,39 @@
             silent_s=round(now - loss.noticed_at, 2) if loss else None,
             leaving=is_leaving,
         )
+        is_common = loss is not None and self._has_common_cause(loss)
         for task in affected:
-            if len(task.crashes) >= MAX_CRASHES:
-                self._give_up(task, now)
-
-    def _give_up(self, task: Task, now: float) -> None:
-        job = task.step.occurrence.job
-        if job.is_over:
-            return
-        self._state.note(
-            "task_given_up",
-            task=list(task.id),
-            crashed=[crash.worker for crash in task.crashes],
-        )
-        self._state.finish(job, JobState.FAILED, now)
-        self._intake.stop_tasks(job)
+            if len(task.crashes) >= MAX_CRASHES or (
+                not is_common and _is_to_blame(task, affected)
+            ):
+                give_up(self._state, task, now)
+
+    def _has_common_cause(self, loss: WorkerLoss) -> bool:
+        """Whether other workers, or most of the rack, were lost at the same time."""
+        losses = self._state.recent_losses
+        simultaneous = [
+            other
+            for other in losses
+            if abs(other.noticed_at - loss.noticed_at) <= SIMULTANEOUS_S
+        ]
+        if len(simultaneous) >= MIN_SIMULTANEOUS_LOSSES:
+            return True
+        if not loss.rack:
+            return False
+        workers = self._state.worker_by_id.values()
+        in_rack = [w for w in workers if w.entry and w.entry.rack == loss.rack]
+        present = sum(w.is_listed or w.loss is not None for w in in_rack)
+        lost = sum(other.rack == loss.rack and other.overlaps(loss) for other in losses)
+        return lost > 1 and 2 * lost >= present
 
     def on_worker_returned(self, worker: Worker) -> None:
         """Forget the loss of a worker that answers again: it did not crash."""
         returned = (worker.id, worker.incarnation)
+        self._state.recent_losses = [
+            loss
+            for loss in self._state.recent_losses
+            if (loss.worker, loss.incarnation) != returned
+        ]
         crashed = self._state.crashed_task_by_id
         for task in list(crashed.values()):
             task.crashes = [
@@ -99,8 +172,27 @@
                 del crashed[task.id]
 
 
-def _record_crash(task: Task, worker: Worker, answered_at: float) -> None:
+def _is_to_blame(task: Task, affected: list[Task]) -> bool:
+    """Whether the latest crash under a task has no other likely cause.
+
+    :param affected: all tasks that were lost with the worker
+    """
+    if not task.is_isolated or not task.crashes[-1].is_fresh:
+        return False
+    fresh = sum(crash.is_fresh for crash in task.crashes)
+    certain = sum(crash.is_certain for crash in task.crashes)
+    return min(fresh, certain) >= MIN_BLAMED_CRASHES and all(
+        len(other.crashes) < len(task.crashes)
+        for other in affected
+        if other.id.job != task.id.job
+    )
+
+
+def _record_crash(
+    task: Task, worker: Worker, answered_at: float, is_certain: bool
+) -> None:
     if task.confirmed_at and answered_at - task.confirmed_at >= FORGET_CRASHES_S:
         task.crashes = []
     is_fresh = not has_settled(task, answered_at)
-    task.crashes.append(Crash(worker.id, task.incarnation, is_fresh))
+    crash = Crash(worker.id, task.incarnation, task.run, is_fresh, is_certain)
+    task.crashes.append(crash)
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/fleet.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/fleet.py
@@ -8,6 +8,7 @@
 from ..model.resources import Resources
 
 if TYPE_CHECKING:
+    from .isolation import Isolation
     from .jobs import Task
     from .specs import TaskId
 
@@ -61,6 +62,13 @@
     answered_at: float
     noticed_at: float
 
+    def overlaps(self, other: WorkerLoss) -> bool:
+        """Whether both workers may have been lost at the same moment."""
+        return (
+            self.answered_at <= other.noticed_at
+            and other.answered_at <= self.noticed_at
+        )
+
 
 @dataclass(slots=True)
 class Worker:
@@ -81,6 +89,7 @@
     :param answered_at: time of the last response to a poll
     :param failed_polls: polls that failed since the last response
     :param loss: loss of contact that is not over, or whose runs are not yet requeued
+    :param isolation: reservation for tasks that may have crashed their worker
     :param is_suspect: whether starts went unanswered since the last list of runs
     :param foreign_runs: listed runs that were not placed on the worker, with the size
         of each and whether it uses only idle processor time
@@ -107,6 +116,7 @@
     answered_at: float = float("-inf")
     failed_polls: int = 0
     loss: WorkerLoss | None = None
+    isolation: Isolation | None = None
     is_suspect: bool = False
     task_by_id: dict[TaskId, Task] = field(default_factory=dict)
     foreign_runs: dict[tuple[TaskId, int], tuple[Resources, bool]] = field(
@@ -186,14 +196,6 @@
             and not self.is_suspect
         )
 
-    def lose_contact(self, now: float) -> None:
-        """Record that contact with this incarnation was lost, unless that is known."""
-        if self.loss is None:
-            rack = self.entry.rack if self.entry else ""
-            self.loss = WorkerLoss(
-                self.id, self.incarnation, rack, self.answered_at, now
-            )
-
     def compute_deadline_ms(self, now: float, lease_s: float) -> int:
         """Return the time ``lease_s`` seconds from now on the worker's clock."""
         return int(self.clock_ms + (now - self.clock_at + lease_s) * 1000)
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
@@ -45,12 +45,16 @@
     """Loss of a worker that ran a task.
 
     :param incarnation: incarnation of the worker that was lost
+    :param run: number of the run
     :param is_fresh: whether the worker was lost before it had outlived the task's start
+    :param is_certain: whether the worker has crashed, and was not only out of reach
     """
 
     worker: str
     incarnation: int
+    run: int
     is_fresh: bool
+    is_certain: bool
 
 
 @dataclass(slots=True)
@@ -71,6 +75,7 @@
     :param confirmed_at: time at which the worker confirmed the start
     :param has_unknown_outcome: whether an order for this run was not answered
     :param is_resumed: whether this run started from a checkpoint
+    :param is_isolated: whether it was placed where no other job starts tasks meanwhile
     :param is_speed_recorded: whether the progress of this run was used to measure the
         speed of its worker
     :param barred_at: time from which the worker can't start the run any more: if a
@@ -96,6 +101,7 @@
     has_unknown_outcome: bool = False
     is_stopping: bool = False
     is_resumed: bool = False
+    is_isolated: bool = False
     is_speed_recorded: bool = False
     barred_at: float = float("inf")
     retry_at: float = 0.0
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/reconciler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/reconciler.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from .batches import StoredEnd
-from .crashes import CrashHandler
+from .crashes import LEASE_EXPIRED, REPLACED, RESTARTED, CrashHandler
 from .effects import PollWorker, StepDown, Stop
 from .events import StartOutcome, WorkerPolled
 from .jobs import TaskState
@@ -32,6 +32,9 @@
 """Seconds for which a worker waits for a run to end before it answers a poll: a third
 of the shortest lease in use."""
 
+ISOLATED_POLL_WAIT_S = 0.2
+"""Like ``POLL_WAIT_S``, while other tasks wait to learn if a suspect has settled."""
+
 UNSTORED_POLL_S = 0.1
 """Seconds until the next poll while ends are waiting to be stored: the worker lists
 them again at once, so it can't wait for the next end. Doubles with each such poll."""
@@ -52,7 +55,7 @@
     def __init__(self, state: PlannerState, intake: Intake) -> None:
         self._state = state
         self._run_end_handler = RunEndHandler(state, intake)
-        self._crash_handler = CrashHandler(state, intake)
+        self._crash_handler = CrashHandler(state)
 
     def send_polls(self, now: float, checks_all: bool) -> None:
         """Send the polls that are due.
@@ -93,7 +96,7 @@
                 worker.entry.address,
                 worker.token,
                 worker.sent_cursor,
-                POLL_WAIT_S if waits else 0.0,
+                _choose_wait_s(worker) if waits else 0.0,
                 deadline_ms,
             )
         )
@@ -103,7 +106,7 @@
         worker = self._state.mark_changed(event.worker)
         worker.is_polling = False
         worker.failed_polls += 1
-        worker.lose_contact(event.now)
+        self._state.lose_contact(worker, event.now)
         worker.poll_due = event.now + POLL_RETRY_S
         if event.fenced:
             self._state.effects.append(StepDown(f"fenced by {event.worker}"))
@@ -140,8 +143,10 @@
             self._on_same_incarnation(worker)
         else:
             is_first = worker.incarnation == 0
-            if not is_first:
-                worker.lose_contact(event.now)
+            if is_first:
+                self._requeue_from_predecessors(worker, event)
+            else:
+                self._state.lose_contact(worker, event.now)
             worker.incarnation = event.incarnation
             worker.cursor = 0
             worker.confirmed_cursor = 0
@@ -156,10 +161,25 @@
                 return False
         return event.token == worker.token
 
+    def _requeue_from_predecessors(self, worker: Worker, event: WorkerPolled) -> None:
+        """Requeue the tasks of silent workers whose address another one answers at.
+
+        Two processes can't have the same address, so their leases need not expire.
+        """
+        assert worker.entry is not None
+        address = worker.entry.address
+        for other in self._state.worker_by_id.values():
+            if other is worker or not other.task_by_id or other.entry is None:
+                continue
+            is_older = other.entry.incarnation < event.incarnation
+            if other.entry.address == address and is_older and other.loss is not None:
+                tasks = list(other.task_by_id.values())
+                self._requeue_lost_with_worker(other, tasks, REPLACED, event.now)
+
     def _on_same_incarnation(self, worker: Worker) -> None:
         if worker.loss is not None and worker.loss.incarnation == worker.incarnation:
             self._crash_handler.on_worker_returned(worker)
-        worker.loss = None
+            worker.loss = None
 
     def _reduce_ends(self, worker: Worker, event: WorkerPolled) -> None:
         new_ends = [
@@ -190,9 +210,10 @@
                 if task.incarnation != event.incarnation
                 and (task.id, task.run) not in progress_by_run
             ],
-            "worker restarted",
+            RESTARTED,
             event.now,
         )
+        worker.loss = None
         for task in list(worker.task_by_id.values()):
             progress = progress_by_run.pop((task.id, task.run), None)
             if progress is not None:
@@ -399,4 +420,8 @@
             if not worker.is_out_of_contact:
                 continue
             tasks = list(worker.task_by_id.values())
-            self._requeue_lost_with_worker(worker, tasks, "lease expired", now)
+            self._requeue_lost_with_worker(worker, tasks, LEASE_EXPIRED, now)
+
+
+def _choose_wait_s(worker: Worker) -> float:
+    return ISOLATED_POLL_WAIT_S if worker.isolation else POLL_WAIT_S
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/records.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/records.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import astuple, dataclass
 from typing import Any
 
 import msgpack
@@ -141,7 +141,7 @@
             [
                 step.id.step,
                 task.id.position,
-                [[c.worker, c.incarnation, c.is_fresh] for c in task.crashes],
+                [astuple(crash) for crash in task.crashes],
             ]
             for task in step.tasks
             if task.crashes
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/scheduler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/scheduler.py
@@ -6,7 +6,9 @@
 from typing import TYPE_CHECKING
 
 from .advice_candidates import choose_candidates
+from .crashes import give_up, has_used_up_starts
 from .effects import Start
+from .isolation import IsolationPolicy
 from .jobs import TaskState
 from .order import HOPELESS_LEVELS
 from .placement import place_gang, place_tasks
@@ -71,6 +73,7 @@
     def __init__(self, state: PlannerState, order: OrderPolicy) -> None:
         self._state = state
         self._order = order
+        self._isolation = IsolationPolicy(state)
         self._reservations = Reservations()
         self._reserved_limits: list[tuple[str, Resources, int]] = []
         self._drained_gangs = 0
@@ -84,6 +87,7 @@
         self.reason_by_step = {}
         self.considered_steps = 0
         self._drained_gangs = 0
+        self._isolation.release_hosts(now)
         usable = self._group_usable(now)
         for rank, step, queue in self._sort_ready():
             self._schedule_step(step, queue, rank, usable.get(queue.service, []), now)
@@ -136,7 +140,7 @@
         self, step: StepRun, queue: Queue, rank: Rank, usable: list[Worker], now: float
     ) -> None:
         waiting = step.list_waiting()
-        if not waiting:
+        if not waiting or step.occurrence.job.is_over:
             return
         advice = self._state.advice_requests.find(step.id) if queue.advice else None
         if (
@@ -146,6 +150,19 @@
         ):
             self.reason_by_step[step.id] = "a request for advice is in progress"
             return
+        suspects = self._isolation.find_suspects(step)
+        for task in suspects:
+            if task.is_waiting and has_used_up_starts(task):
+                give_up(self._state, task, now)
+                return
+        if suspects and not step.spec.gang:
+            # The other tasks of the step may crash their workers too.
+            waiting = [task for task in suspects if task.is_waiting]
+            if not waiting:
+                self.reason_by_step[step.id] = (
+                    "tasks that may have crashed their worker have not settled yet"
+                )
+                return
         spec = step.spec
         allowed = self._state.count_allowed(step.occurrence.job.spec.tenant, spec.size)
         needed = spec.count if spec.gang else 1
@@ -164,7 +181,9 @@
             )
             self._request_advice(context, workers, context.waiting)
         elif spec.gang:
-            self._schedule_gang(context, workers)
+            self._schedule_gang(context, workers, suspects)
+        elif suspects:
+            self._schedule_isolated(context, workers)
         else:
             self._schedule_tasks(context, workers)
 
@@ -175,7 +194,7 @@
             usable = [w for w in usable if w.entry and spec.label in w.entry.labels]
         if spec.fills or spec.target_s:
             usable = [worker for worker in usable if may_share(step, worker)]
-        return usable
+        return [w for w in usable if self._isolation.may_start(step, w)]
 
     def _schedule_tasks(self, context: _StepContext, workers: list[Worker]) -> None:
         step, waiting = context.step, context.waiting
@@ -195,17 +214,49 @@
         if fitting:
             self._request_advice(context, possible, left)
 
-    def _schedule_gang(self, context: _StepContext, workers: list[Worker]) -> None:
+    def _schedule_isolated(self, context: _StepContext, workers: list[Worker]) -> None:
+        """Place suspects on one worker that starts nothing else meanwhile."""
+        step, waiting = context.step, context.waiting
+        ticketed = context.select_ticketed(workers)
+        hosts = self._isolation.select_hosts(step, waiting, ticketed)
+        host = self._isolation.choose_host(step, hosts)
+        if host is not None:
+            for task, worker in place_tasks(step, waiting, [host]):
+                self._record_placement(task, worker, task.run + 1)
+                self._isolation.isolate(task, worker, context.now)
+            return
+        self.reason_by_step[step.id] = "no worker is free for tasks under suspicion"
+        possible = context.select_possible(workers)
+        self._isolation.reserve(step, waiting, possible, context.now)
+        candidates = self._isolation.select_hosts(step, waiting, possible) or possible
+        self._request_advice(context, candidates, waiting)
+
+    def _place_gang(
+        self, context: _StepContext, workers: list[Worker], suspects: list[Task]
+    ) -> list[tuple[Task, Worker]]:
+        if not suspects:
+            return place_gang(context.step, context.waiting, workers)
+        return self._isolation.place_gang(
+            context.step, context.waiting, suspects, workers
+        )
+
+    def _schedule_gang(
+        self, context: _StepContext, workers: list[Worker], suspects: list[Task]
+    ) -> None:
         step, waiting = context.step, context.waiting
-        placed = place_gang(step, waiting, context.select_ticketed(workers))
+        placed = self._place_gang(context, context.select_ticketed(workers), suspects)
         if placed:
             step.run = max(step.run, *(task.run for task in waiting)) + 1
             checkpoint = next((t.checkpoint for t in waiting if t.checkpoint), "")
             for task, worker in placed:
                 task.checkpoint = checkpoint
                 self._record_placement(task, worker, step.run)
+                if task in suspects:
+                    self._isolation.isolate(task, worker, context.now)
             return
         possible = context.select_possible(workers)
+        if suspects:
+            self._isolation.reserve(step, suspects, possible, context.now)
         fitting = place_gang(step, waiting, possible)
         if fitting:
             self.reason_by_step[step.id] = "the gang fits, but tickets are missing"
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/state.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/state.py
@@ -9,7 +9,7 @@
 from .advice import AdviceRequests
 from .batches import BatchQueue
 from .effects import Note, Stop
-from .fleet import Worker
+from .fleet import Worker, WorkerLoss
 from .jobs import FINAL_STATES, JobState, TaskState, find_ready_steps
 from .rules import Rules
 from .run_times import RunTimes
@@ -27,6 +27,11 @@
 """Fencing tokens of one planner for one worker; each incarnation it sees takes one."""
 
 
+LOSS_MEMORY_S = 20.0
+"""Seconds for which the loss of a worker is kept, to compare others with it: longer
+than the leases, after which its tasks are requeued."""
+
+
 @dataclass(frozen=True, slots=True)
 class PlannerSettings:
     """Settings of the planner of one term.
@@ -63,6 +68,8 @@
         self.unknown_start_by_id: dict[TaskId, Task] = {}
         self.withheld_start_by_id: dict[TaskId, Task] = {}
         """Stored placements whose start was not sent for lack of authority."""
+        self.recent_losses: list[WorkerLoss] = []
+        """Workers that were lost in the last ``LOSS_MEMORY_S`` seconds."""
         self.crashed_task_by_id: dict[TaskId, Task] = {}
         """Tasks under which workers were lost, unless their jobs are over."""
         self.advice_requests = AdviceRequests()
@@ -95,6 +102,20 @@
         self.changed_workers[worker_id] = worker
         return worker
 
+    def lose_contact(self, worker: Worker, now: float) -> None:
+        """Record that contact with a worker was lost, unless that is known."""
+        if worker.loss is not None:
+            return
+        rack = worker.entry.rack if worker.entry else ""
+        loss = WorkerLoss(worker.id, worker.incarnation, rack, worker.answered_at, now)
+        worker.loss = loss
+        self.recent_losses = [
+            other
+            for other in self.recent_losses
+            if now - other.noticed_at < LOSS_MEMORY_S
+        ]
+        self.recent_losses.append(loss)
+
     # Capacity and limits
 
     def place(self, task: Task, worker: Worker) -> None:
@@ -119,7 +140,9 @@
         task.worker = ""
         task.has_unknown_outcome = False
         task.is_stopping = False
+        task.is_isolated = False
         task.placed_at = 0.0
+        task.confirmed_at = 0.0
         task.barred_at = float("inf")
         self.unknown_start_by_id.pop(task.id, None)
         self.withheld_start_by_id.pop(task.id, None)
--- a/testkit/planning/rule_checker.py
+++ b/testkit/planning/rule_checker.py
@@ -57,6 +57,8 @@
         self._acknowledged_failures: dict[TaskId, list[float]] = defaultdict(list)
         self.crashes_by_task: Counter[TaskId] = Counter()
         """Workers that each task has crashed."""
+        self._losses_by_task: Counter[TaskId] = Counter()
+        self._unexplained_losses: Counter[TaskId] = Counter()
         self._starts_after_crashes: Counter[TaskId] = Counter()
         self._last_started_at: dict[TaskId, float] = {}
         self.usage_by_client_account: dict[str, int] = defaultdict(int)
@@ -133,6 +135,26 @@
                 f"and is started again"
             )
 
+    def on_lost(self, task: TaskId, cause: TaskId | None) -> None:
+        """Record that a task is lost with its worker.
+
+        :param cause: task that crashes the worker, or None for any other cause
+        """
+        self._losses_by_task[task] += 1
+        if cause is None:
+            self._unexplained_losses[task] += 1
+
+    def may_be_given_up(self, job: str) -> bool:
+        """Whether a job that can be done may fail for the crashes under a task.
+
+        Two workers have crashed under the task, one of them not by another task.
+        """
+        return any(
+            count >= 2 and self._unexplained_losses[task]
+            for task, count in self._losses_by_task.items()
+            if task.job == job
+        )
+
     def on_crash(self, task: TaskId) -> None:
         """Record that a task crashes the worker on which it runs."""
         self.crashes_by_task[task] += 1
--- a/testkit/planning/worker.py
+++ b/testkit/planning/worker.py
@@ -124,11 +124,15 @@
             self._checker.find_step(task).size.processors for task in self._run_by_task
         )
 
-    def crash(self) -> None:
-        """Stop, and lose all runs, ends, tokens and leases."""
+    def crash(self, cause: TaskId | None = None) -> None:
+        """Stop, and lose all runs, ends, tokens and leases.
+
+        :param cause: task that crashes the worker, if any does
+        """
         self.is_up = False
         self.incarnation += 1
         for task in list(self._run_by_task):
+            self._checker.on_lost(task, cause)
             self._checker.on_end(task, EndKind.LAPSED)
             self._break_gang(task, self._run_by_task[task].run)
         self._run_by_task.clear()
--- a/tests/planner/test_deadly_tasks.py
+++ b/tests/planner/test_deadly_tasks.py
@@ -3,9 +3,18 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
+
+from jacinthloom_core.model.resources import Resources
+from jacinthloom_core.planner import effects, events
+from jacinthloom_core.planner.crashes import FORGET_CRASHES_S
+from jacinthloom_core.planner.events import RunProgress, StartOutcome
+from jacinthloom_core.planner.specs import StepSpec
 
 from testkit.planning.world import Scenario, World
 
+from .test_takeover import ENTRY, JOB, Store, find_starts, make_planner, store_batches
+
 SEEDS = range(2000, 2030)
 """Seeds of the simulated scenarios."""
 
@@ -37,5 +46,162 @@
                 World(Scenario(seed, faults=0, deadly=0.1, deadly_delay_s=1.2)).run()
 
 
+class CrashedWorkersTest(unittest.TestCase):
+    """Two racks of four workers, each of which may crash and return as another."""
+
+    def setUp(self) -> None:
+        self.now = 0.1
+        self.store = Store()
+        self.incarnation_by_worker: dict[str, int] = {}
+        self.run_by_worker: dict[str, list[effects.Start]] = {}
+        self.elect_planner(1)
+        for number in range(8):
+            self.list_worker(f"w{number}")
+
+    def elect_planner(self, term: int) -> None:
+        self.planner = make_planner(term, self.store, self.now)
+        self.planner.handle(events.WorkerUnlisted(self.now, "w1"))
+        for worker in self.incarnation_by_worker:
+            self.list_worker(worker)
+
+    def list_worker(self, worker: str) -> None:
+        incarnation = self.incarnation_by_worker.setdefault(worker, 5)
+        entry = replace(
+            ENTRY,
+            id=worker,
+            address=f"{worker}:1",
+            rack=f"r{int(worker[1:]) // 4}",
+            incarnation=incarnation,
+        )
+        self.apply(self.planner.handle(events.WorkerListed(self.now, entry)))
+        self.poll(worker)
+
+    def poll(self, worker: str) -> None:
+        """Answer polls of a worker until it has seen the newest token."""
+        for _ in range(2):
+            running = tuple(
+                RunProgress(start.task, start.run, "", 50)
+                for start in self.run_by_worker.get(worker, [])
+            )
+            polled = events.WorkerPolled(
+                self.now,
+                worker,
+                self.now - 0.01,
+                self.planner.state.worker_by_id[worker].token,
+                self.incarnation_by_worker[worker],
+                100,
+                running,
+                (),
+            )
+            self.apply(self.planner.handle(polled))
+
+    def apply(self, emitted: list[effects.Effect]) -> None:
+        for start in find_starts(
+            store_batches(self.planner, self.store, emitted, self.now)
+        ):
+            self.run_by_worker.setdefault(start.worker, []).append(start)
+            answer = events.StartAnswered(
+                self.now, start.worker, start.task, start.run, StartOutcome.STARTED
+            )
+            self.apply(self.planner.handle(answer))
+
+    def crash(self, *workers: str) -> None:
+        """Let workers crash now and return 3 s later, after which all are polled."""
+        for worker in workers:
+            self.run_by_worker.pop(worker, None)
+            self.apply(self.planner.handle(events.WorkerPollFailed(self.now, worker)))
+        self.wait(3.0, *workers)
+        for worker in workers:
+            self.incarnation_by_worker[worker] += 1
+            self.list_worker(worker)
+        self.wait(0.1)
+
+    def wait(self, seconds: float, *silent: str) -> None:
+        for _ in range(round(seconds / 0.1)):
+            self.now += 0.1
+            wall_ms = int(self.now * 1000)
+            self.apply(self.planner.handle(events.Tick(self.now, wall_ms)))
+            self.apply(self.planner.handle(events.FlushDue(self.now)))
+            for worker in self.incarnation_by_worker:
+                if worker not in silent:
+                    self.poll(worker)
+
+    def submit(self, count: int = 1) -> str:
+        step = StepSpec(count, Resources(100, 100), 30.0)
+        job = replace(JOB, steps=(step,))
+        self.apply(self.planner.handle(events.JobSubmitted(self.now, 1, job)))
+        self.wait(0.1)
+        return job.id
+
+    def find_workers(self) -> list[str]:
+        """Return the workers that run a task."""
+        return [worker for worker, starts in self.run_by_worker.items() if starts]
+
+    # Guards against a task that is given up for the loss of the racks it was in.
+    def test_task_that_was_lost_with_two_racks_is_not_given_up(self) -> None:
+        job = self.submit()
+        for _ in range(2):
+            (worker,) = self.find_workers()
+            first = int(worker[1:]) // 4 * 4
+            self.crash(*(f"w{number}" for number in range(first, first + 4)))
+        self.assertEqual(self.planner.find_job_state(job), "running")
+
+    # Guards against a count that a new planner does not know.
+    def test_crash_is_known_to_the_next_planner(self) -> None:
+        job = self.submit()
+        self.crash(*self.find_workers())
+        self.wait(FORGET_CRASHES_S / 20)
+        self.elect_planner(2)
+        self.wait(0.1)
+        (task,) = self.planner.state.job_by_id[job].tasks()
+        self.assertEqual([crash.is_certain for crash in task.crashes], [True])
+
+    # Guards against tasks that are blamed for workers that were only out of reach.
+    def test_worker_that_answers_again_has_not_crashed(self) -> None:
+        job = self.submit()
+        (worker,) = self.find_workers()
+        self.planner.handle(events.WorkerPollFailed(self.now, worker))
+        self.wait(7.0, worker)
+        (task,) = self.planner.state.job_by_id[job].tasks()
+        self.assertEqual(len(task.crashes), 1)
+        self.run_by_worker.pop(worker)
+        self.poll(worker)
+        self.assertEqual(task.crashes, [])
+
+    # Guards against tasks that start beside a suspect and are blamed with it.
+    def test_nothing_else_starts_beside_a_suspect(self) -> None:
+        self.submit()
+        self.crash(*self.find_workers())
+        (host,) = self.find_workers()
+        other = replace(JOB, id="b" * 16, steps=(StepSpec(79, JOB.steps[0].size, 9.0),))
+        self.apply(self.planner.handle(events.JobSubmitted(self.now, 2, other)))
+        self.assertEqual(len(self.run_by_worker[host]), 1)
+        self.wait(1.0)
+        self.assertEqual(len(self.run_by_worker[host]), 10)
+
+    # Guards against the other tasks of a step that crash one worker each.
+    def test_tasks_beside_a_suspect_wait_until_it_has_settled(self) -> None:
+        self.submit(count=10)
+        self.assertEqual(len(self.find_workers()), 1)
+        self.crash(*self.find_workers())
+        self.assertEqual(len(self.find_workers()), 1)
+
+    # Guards against lost runs that wait for a lease although their worker is gone.
+    def test_runs_of_a_replaced_worker_start_again_at_once(self) -> None:
+        self.submit()
+        (worker,) = self.find_workers()
+        self.planner.handle(events.WorkerPollFailed(self.now, worker))
+        self.wait(3.0, worker)
+        self.incarnation_by_worker["w9"] = 6
+        entry = self.planner.state.worker_by_id[worker].entry
+        assert entry is not None
+        renamed = replace(entry, id="w9", incarnation=6)
+        self.apply(self.planner.handle(events.WorkerListed(self.now, renamed)))
+        self.poll("w9")
+        self.wait(0.1, worker)
+        starts = [start for runs in self.run_by_worker.values() for start in runs]
+        self.assertEqual(sorted(start.run for start in starts), [1, 2])
+
+
 if __name__ == "__main__":
     unittest.main()
