--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/crashes.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/crashes.py
@@ -194,5 +194,8 @@
     if task.confirmed_at and answered_at - task.confirmed_at >= FORGET_CRASHES_S:
         task.crashes = []
     is_fresh = not has_settled(task, answered_at)
-    crash = Crash(worker.id, task.incarnation, task.run, is_fresh, is_certain)
+    has_run = bool(task.confirmed_at)  # an unanswered start may not have taken effect
+    crash = Crash(
+        worker.id, task.incarnation, task.run, is_fresh, is_certain and has_run
+    )
     task.crashes.append(crash)
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/isolation.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/isolation.py
@@ -10,7 +10,13 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from .crashes import FORGET_CRASHES_S, compute_settle_s, has_settled, is_suspect
+from .crashes import (
+    FORGET_CRASHES_S,
+    SETTLE_S,
+    compute_settle_s,
+    has_settled,
+    is_suspect,
+)
 from .jobs import TaskState
 from .placement import count_fitting_tasks, place_tasks
 
@@ -22,6 +28,9 @@
 MAX_ISOLATED_SHARE = 0.25
 """Maximum share of the workers of a service that are used for suspects at a time."""
 
+MAX_IDLE_SHARE = 0.5
+"""Maximum share of the workers that are used for suspects while workers are idle."""
+
 MAX_RESERVED_S = 3.0
 """Seconds after which a worker that was reserved for suspects and not used is released,
 beside those that its other tasks take to settle."""
@@ -143,6 +152,18 @@
             self._host_by_id[worker.id] = worker
         worker.isolation.is_used = True
 
+    def reserve_idle(self, step: StepRun, workers: list[Worker], now: float) -> None:
+        """Reserve a worker that a scheduling pass has left without any tasks."""
+        spec = step.spec
+        if len(self._host_by_id) >= len(workers) * MAX_IDLE_SHARE:
+            return
+        for worker in workers:
+            is_idle = not worker.task_by_id and worker.isolation is None
+            if is_idle and worker.has_capacity_for(spec.size, spec.fills):
+                worker.isolation = Isolation(step.id.job, now, SETTLE_S)
+                self._host_by_id[worker.id] = worker
+                return
+
     def reserve(
         self, step: StepRun, suspects: list[Task], workers: list[Worker], now: float
     ) -> None:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
@@ -47,7 +47,7 @@
     :param incarnation: incarnation of the worker that was lost
     :param run: number of the run
     :param is_fresh: whether the worker was lost before it had outlived the task's start
-    :param is_certain: whether the worker has crashed, and was not only out of reach
+    :param is_certain: whether the worker has certainly crashed, and had started it
     """
 
     worker: str
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
@@ -13,6 +13,7 @@
 from .reconciler import RunReconciler
 from .records import QUEUE_PREFIX, load_jobs, load_queues
 from .scheduler import Scheduler
+from .start_dispatcher import StartDispatcher
 from .state import PlannerSettings, PlannerState
 
 if TYPE_CHECKING:
@@ -65,6 +66,7 @@
         self._intake = Intake(state)
         self._reconciler = RunReconciler(state, self._intake)
         self._scheduler = Scheduler(state, make_order(state.run_times))
+        self._start_dispatcher = StartDispatcher(state)
         self._pass_due = 0.0
         self._last_cleanup_at = 0.0
         self._last_explained_at = 0.0
@@ -204,7 +206,7 @@
                 self._intake.stop_tasks(job)
         self.state.effects.extend(batch.build_acceptances(OK))
         self.state.effects.extend(batch.replies)
-        self._scheduler.send_starts(batch.starts, event.now)
+        self._start_dispatcher.send_starts(batch.starts, event.now)
         self._advance_cursors(batch, event.now)
 
     def _advance_cursors(self, batch: Batch, now: float) -> None:
@@ -261,7 +263,7 @@
         for member in state.advice_requests.expire(event.now):
             state.note("advice_expired", member=member)
         self._retry_starts(event.now)
-        self._scheduler.retry_withheld(event.now)
+        self._start_dispatcher.retry_withheld(event.now)
         self._explain_waiting(event.now)
         self._drop_expired_jobs(event.now)
 
@@ -284,7 +286,7 @@
             if task.is_stopping or task.step.occurrence.job.is_over:
                 self.state.stop(task)
             else:
-                self._scheduler.send_start(task, now)
+                self._start_dispatcher.send_start(task, now)
 
     def _drop_expired_jobs(self, now: float) -> None:
         if now - self._last_cleanup_at < 1.0:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/scheduler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/scheduler.py
@@ -7,7 +7,6 @@
 
 from .advice_candidates import choose_candidates
 from .crashes import give_up, has_used_up_starts
-from .effects import Start
 from .isolation import IsolationPolicy
 from .jobs import TaskState
 from .order import HOPELESS_LEVELS
@@ -25,10 +24,6 @@
     from .specs import StepId
     from .state import PlannerState
 
-MAX_WITHHELD_S = 1.0
-"""Maximum seconds for which a start is withheld: the members of a gang that have
-started wait only a few seconds for the others."""
-
 MAX_DRAINED_GANGS = 3
 """Maximum number of gangs for which workers are drained at the same time: a gang that
 waits for the last of its workers leaves capacity idle on the others."""
@@ -76,6 +71,8 @@
         self._isolation = IsolationPolicy(state)
         self._reservations = Reservations()
         self._reserved_limits: list[tuple[str, Resources, int]] = []
+        self._waiting_suspects: list[tuple[StepRun, list[Worker]]] = []
+        """Steps whose suspects were not placed, with the workers that may run them."""
         self._drained_gangs = 0
         self.reason_by_step: dict[StepId, str] = {}
         """Why steps were not placed, or not entirely, in the last pass."""
@@ -93,6 +90,9 @@
             self._schedule_step(step, queue, rank, usable.get(queue.service, []), now)
             if step.spec.gang and rank[0] not in HOPELESS_LEVELS:
                 self._reserve_limit(step)
+        for step, workers in self._waiting_suspects:
+            self._isolation.reserve_idle(step, workers, now)
+        self._waiting_suspects.clear()
         self._reservations.release()
         for client_account, size, count in self._reserved_limits:
             self._state.add_usage(client_account, size, -count)
@@ -114,18 +114,13 @@
         """Return the workers that may be given tasks, by service."""
         usable: dict[str, list[Worker]] = {}
         for worker in self._state.worker_by_id.values():
-            if worker.entry is not None and self._is_usable(worker, now):
+            if worker.entry is not None and self._state.is_usable(worker, now):
                 worker.slowness = self._state.worker_speeds.find_slowness(
                     worker.id, now
                 )
                 usable.setdefault(worker.entry.service, []).append(worker)
         return usable
 
-    def _is_usable(self, worker: Worker, now: float) -> bool:
-        if not worker.is_usable(now) or worker.entry is None:
-            return False
-        return worker.entry.zone not in self._state.zones_out
-
     def _sort_ready(self) -> list[tuple[Rank, StepRun, Queue]]:
         rows = []
         for step in self._state.ready_by_id.values():
@@ -228,6 +223,7 @@
         self.reason_by_step[step.id] = "no worker is free for tasks under suspicion"
         possible = context.select_possible(workers)
         self._isolation.reserve(step, waiting, possible, context.now)
+        self._waiting_suspects.append((step, possible))
         candidates = self._isolation.select_hosts(step, waiting, possible) or possible
         self._request_advice(context, candidates, waiting)
 
@@ -318,111 +314,3 @@
         task.state = TaskState.PLACED
         state.store_occurrence(task.step.occurrence)
         state.batches.pending.starts.append((task, run))
-
-    # After the record is stored
-
-    def send_starts(self, starts: list[tuple[Task, int]], now: float) -> None:
-        """Start the tasks of a stored batch, except those that may no longer start."""
-        aborted: set[int] = set()
-        for task, run in starts:
-            if task.state is not TaskState.PLACED or task.run != run:
-                continue
-            reason = self._find_start_obstacle(task, now)
-            if not reason and id(task.step) in aborted:
-                reason = "another member of the gang can't start"
-            if reason:
-                if task.step.spec.gang:
-                    aborted.add(id(task.step))
-                self._state.note(
-                    "start_dropped", task=list(task.id), run=run, reason=reason
-                )
-                self._state.requeue(task)
-            else:
-                self._start(task, now)
-        for task, run in starts:
-            is_member = id(task.step) in aborted and task.run == run
-            if is_member and task.state is TaskState.STARTING:
-                self._state.stop(task)
-
-    def retry_withheld(self, now: float) -> None:
-        """Send the starts that were withheld, or place the tasks again."""
-        withheld = self._state.withheld_start_by_id
-        tasks = list(withheld.values())
-        withheld.clear()
-        for task in tasks:
-            if task.state is not TaskState.STARTING:
-                continue
-            reason = self._find_start_obstacle(task, now)
-            if not reason and now - task.placed_at > MAX_WITHHELD_S:
-                reason = "this planner has had no authority for too long"
-            if not reason:
-                self.send_start(task, now)
-                continue
-            self._state.note(
-                "start_dropped", task=list(task.id), run=task.run, reason=reason
-            )
-            self._state.requeue(task)
-            self._state.abort_gang(task)
-
-    def _find_start_obstacle(self, task: Task, now: float) -> str:
-        """Return why a placed task may not start, or an empty string."""
-        worker = self._state.worker_by_id[task.worker]
-        if task.step.occurrence.job.is_over:
-            return "job is over"
-        if not self._is_usable(worker, now) or worker.incarnation != task.incarnation:
-            return "worker is no longer usable"
-        if self._needs_ticket(task) and not self._find_ticket(task, worker, now):
-            return "ticket has expired"
-        return ""
-
-    def _needs_ticket(self, task: Task) -> bool:
-        name = task.step.occurrence.job.spec.queue
-        queue = self._state.queue_by_name.get(name)
-        return queue is not None and queue.advice is not None
-
-    def _find_ticket(self, task: Task, worker: Worker, now: float) -> str:
-        advice = self._state.advice_requests.find(task.step.id)
-        ticket = advice.ticket_by_worker.get(worker.id)
-        if (
-            ticket is None
-            or ticket.incarnation != worker.incarnation
-            or ticket.valid_until < now
-        ):
-            return ""
-        return ticket.text
-
-    def _start(self, task: Task, now: float) -> None:
-        task.step.occurrence.job.has_started = True
-        task.state = TaskState.STARTING
-        task.placed_at = now
-        task.is_resumed = bool(task.checkpoint)
-        task.is_speed_recorded = False
-        task.percent = 0
-        task.progress_at = 0.0
-        task.confirmed_at = 0.0
-        self.send_start(task, now)
-
-    def send_start(self, task: Task, now: float) -> None:
-        """Send the order to start a task, for the first time or again."""
-        state = self._state
-        worker = state.worker_by_id[task.worker]
-        assert worker.entry is not None
-        lease_s = state.settings.lease_s
-        ticket = (
-            self._find_ticket(task, worker, now) if self._needs_ticket(task) else ""
-        )
-        worker.extend_lease(now, lease_s)
-        state.note("task_started", task=list(task.id), run=task.run, on=worker.id)
-        state.effects.append(
-            Start(
-                worker.id,
-                worker.entry.address,
-                worker.token,
-                task.id,
-                task.run,
-                task.step.occurrence.job.spec.payload,
-                task.checkpoint,
-                ticket,
-                worker.compute_deadline_ms(now, lease_s),
-            )
-        )
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/state.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/state.py
@@ -96,6 +96,12 @@
             self.worker_by_id[worker_id] = worker
         return worker
 
+    def is_usable(self, worker: Worker, now: float) -> bool:
+        """Whether a worker may be given tasks."""
+        if not worker.is_usable(now) or worker.entry is None:
+            return False
+        return worker.entry.zone not in self.zones_out
+
     def mark_changed(self, worker_id: str) -> Worker:
         """Return a known worker, and check after this event if its next poll is due."""
         worker = self.worker_by_id[worker_id]
--- a/testkit/planning/mutations.py
+++ b/testkit/planning/mutations.py
@@ -26,7 +26,7 @@
     def flush_and_start(now: float) -> Any:
         starts = list(planner.state.batches.pending.starts)
         batch = flush(now)
-        planner._scheduler.send_starts(starts, now)
+        planner._start_dispatcher.send_starts(starts, now)
         return batch
 
     planner.state.batches.flush = flush_and_start
@@ -185,10 +185,10 @@
 
     def send_and_requeue(now: float) -> None:
         for task in list(planner.state.withheld_start_by_id.values()):
-            planner._scheduler.send_start(task, now)
+            planner._start_dispatcher.send_start(task, now)
             planner.state.requeue(task)
 
-    planner._scheduler.retry_withheld = send_and_requeue
+    planner._start_dispatcher.retry_withheld = send_and_requeue
 
 
 def _run_numbers_not_increased(planner: Any) -> None:
