--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/fleet.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/fleet.py
@@ -93,6 +93,7 @@
     :param is_suspect: whether starts went unanswered since the last list of runs
     :param foreign_runs: listed runs that were not placed on the worker, with the size
         of each and whether it uses only idle processor time
+    :param largest_capacity: largest capacity that its entries have shown
     :param consecutive_failures: failed runs of different tasks since the last success
     :param slowness: run time relative to a typical worker
     """
@@ -125,6 +126,7 @@
     free_processors: int = 0
     free_memory: int = 0
     free_accelerators: int = 0
+    largest_capacity: Resources = field(default_factory=Resources)
     consecutive_failures: int = 0
     slowness: float = 1.0
     quarantined_until: float = 0.0
@@ -133,6 +135,7 @@
         """Replace the entry, and adjust the free capacity to it."""
         before = self.entry.capacity if self.entry else Resources()
         self.entry = entry
+        self.largest_capacity = self.largest_capacity.component_max(entry.capacity)
         self.free_processors += entry.capacity.processors - before.processors
         self.free_memory += entry.capacity.memory - before.memory
         self.free_accelerators += entry.capacity.accelerators - before.accelerators
@@ -155,6 +158,15 @@
         self.free_memory += size.memory
         self.free_accelerators += size.accelerators
 
+    @property
+    def is_overcommitted(self) -> bool:
+        """Whether more is placed on the worker than its capacity, which has shrunk."""
+        return (
+            self.free_processors < 0
+            or self.free_memory < 0
+            or self.free_accelerators < 0
+        )
+
     def has_capacity_for(self, size: Resources, fills: bool = False) -> bool:
         """Whether a task fits into the free capacity."""
         return (
@@ -211,7 +223,7 @@
         self.lease_until = max(self.lease_until, now + longest_s)
 
 
-def fits_when_empty(size: Resources, entry: WorkerEntry, fills: bool) -> bool:
+def fits_when_empty(size: Resources, capacity: Resources, fills: bool) -> bool:
     """Whether a task would fit on an idle worker."""
     needed = Resources(0, size.memory, size.accelerators) if fills else size
-    return needed.fits_in(entry.capacity)
+    return needed.fits_in(capacity)
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/intake.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/intake.py
@@ -127,15 +127,16 @@
     def _find_oversized_task(self, spec: JobSpec) -> str:
         """Return why no worker is large enough for a task, or an empty string."""
         queue = self._state.queue_by_name.get(spec.queue)
-        entries = [
-            worker.entry
+        # A capacity that has shrunk may grow again, so the largest one counts.
+        capacities = [
+            worker.largest_capacity
             for worker in self._state.worker_by_id.values()
             if worker.entry and queue and worker.entry.service == queue.service
         ]
-        if not entries:
+        if not capacities:
             return ""
         for number, step in enumerate(spec.steps):
-            if not any(fits_when_empty(step.size, e, step.fills) for e in entries):
+            if not any(fits_when_empty(step.size, c, step.fills) for c in capacities):
                 return f"no worker is large enough for a task of step {number}"
         return ""
 
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
@@ -283,7 +283,8 @@
             if worker.failed_polls or worker.incarnation != task.incarnation:
                 continue
             task.retry_at = now + 1.0
-            if task.is_stopping or task.step.occurrence.job.is_over:
+            is_over = task.step.occurrence.job.is_over
+            if task.is_stopping or is_over or worker.is_overcommitted:
                 self.state.stop(task)
             else:
                 self._start_dispatcher.send_start(task, now)
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/start_dispatcher.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/start_dispatcher.py
@@ -76,6 +76,8 @@
             or worker.incarnation != task.incarnation
         ):
             return "worker is no longer usable"
+        if worker.is_overcommitted:
+            return "capacity of the worker has shrunk"
         if self._needs_ticket(task) and not self._find_ticket(task, worker, now):
             return "ticket has expired"
         return ""
--- a/testkit/planning/worker.py
+++ b/testkit/planning/worker.py
@@ -92,6 +92,8 @@
         """
         self.id = name
         self.capacity = capacity
+        self.binding_capacity = capacity
+        """Capacity that starts must keep to; lags behind one that has shrunk."""
         self._clock = clock
         self._checker = checker
         self._gang_registry = gang_registry
--- a/testkit/planning/world.py
+++ b/testkit/planning/world.py
@@ -37,6 +37,10 @@
 CLIENT_ACCOUNT_LIMIT = 3_000
 """Limit of each client account, in millicores."""
 TICKET_VALIDITY_S = 2.0
+HEARTBEAT_INTERVAL_S = 1.5
+"""Seconds until a worker's entry shows a change of its capacity."""
+SHRINK_GRACE_S = 4.5
+"""Seconds after which starts must keep to a capacity that has shrunk."""
 REPLACED_SUFFIX = "'"
 """Added to the name of a worker that takes the place and the address of another."""
 
@@ -51,6 +55,7 @@
     :param jobs: number of jobs that are submitted
     :param workers: number of workers
     :param faults: number of faults that are injected
+    :param shrinks: number of times that the capacity of a worker shrinks for a while
     :param deadly: share of jobs with tasks that crash the workers that start them
     :param deadly_delay_s: seconds from such a start to the crash
     """
@@ -62,6 +67,7 @@
     jobs: int = 60
     workers: int = 6
     faults: int = 12
+    shrinks: int = 0
     deadly: float = 0.0
     deadly_delay_s: float = 0.01
 
@@ -161,6 +167,7 @@
         self.random = Random(scenario.seed)
         self._authority_random = Random(f"authority {scenario.seed}")
         self._deadly_random = Random(f"deadly {scenario.seed}")
+        self._shrink_random = Random(f"shrink {scenario.seed}")
         self.scenario = scenario
         self.make_planner = make_planner
         self.clock = VirtualClock()
@@ -223,6 +230,9 @@
             )
         for _ in range(self.scenario.faults):
             self.clock.after(self.random.uniform(1, FAULTS_END_S), self._inject_fault)
+        for _ in range(self.scenario.shrinks):
+            delay_s = self._shrink_random.uniform(1, FAULTS_END_S)
+            self.clock.after(delay_s, self._shrink_random_worker)
         self._enforce_leases()
         self.clock.run_until(SCENARIO_END_S)
         self._check_final_states()
@@ -359,6 +369,33 @@
             worker.fails_all = True
             self.clock.after(duration_s, lambda: setattr(worker, "fails_all", False))
 
+    def _shrink_random_worker(self) -> None:
+        worker = self._shrink_random.choice(list(self.workers.values()))
+        if worker.capacity.processors < 1_000:
+            return
+        smaller = Resources(self._shrink_random.choice((200, 500)), 1_000)
+        self._set_capacity(worker, smaller)
+        self.clock.after(
+            SHRINK_GRACE_S, lambda: setattr(worker, "binding_capacity", worker.capacity)
+        )
+        duration_s = self._shrink_random.uniform(6, 15)
+        self.clock.after(duration_s, lambda: self._grow(worker))
+
+    def _grow(self, worker: VirtualWorker) -> None:
+        self._set_capacity(worker, Resources(1_000, 1_000))
+        worker.binding_capacity = worker.capacity
+
+    def _set_capacity(self, worker: VirtualWorker, capacity: Resources) -> None:
+        worker.capacity = capacity
+        delay_s = self._shrink_random.uniform(0, HEARTBEAT_INTERVAL_S)
+        self.clock.after(delay_s, lambda: self._report_listed(worker))
+
+    def _report_listed(self, worker: VirtualWorker) -> None:
+        process = self.current_process
+        if process is not None and worker.is_up and worker.id in self.workers:
+            event = events.WorkerListed(self.clock.now, self.make_entry(worker))
+            process.run(lambda: process.handle(event))
+
     def _on_deadly_start(self, worker: VirtualWorker, task: TaskId) -> None:
         delay_s = self.scenario.deadly_delay_s
         incarnation = worker.incarnation
