--- a/tests/planner/test_deadly_tasks.py
+++ b/tests/planner/test_deadly_tasks.py
@@ -126,8 +126,8 @@
                 if worker not in silent:
                     self.poll(worker)
 
-    def submit(self, count: int = 1) -> str:
-        step = StepSpec(count, Resources(100, 100), 30.0)
+    def submit(self, count: int = 1, **kind: bool) -> str:
+        step = StepSpec(count, Resources(100, 100), 30.0, **kind)
         job = replace(JOB, steps=(step,))
         self.apply(self.planner.handle(events.JobSubmitted(self.now, 1, job)))
         self.wait(0.1)
@@ -137,6 +137,17 @@
         """Return the workers that run a task."""
         return [worker for worker, starts in self.run_by_worker.items() if starts]
 
+    # Guards against kinds of work whose crashes are not counted.
+    def test_task_of_any_kind_is_given_up_after_two_crashes(self) -> None:
+        for kind in ({}, {"lasting": True}, {"fills": True}, {"gang": True}):
+            with self.subTest(kind=kind):
+                self.setUp()
+                job = self.submit(**kind)
+                self.crash(*self.find_workers())
+                self.assertEqual(self.planner.find_job_state(job), "running")
+                self.crash(*self.find_workers())
+                self.assertEqual(self.planner.find_job_state(job), "failed")
+
     # Guards against a task that is given up for the loss of the racks it was in.
     def test_task_that_was_lost_with_two_racks_is_not_given_up(self) -> None:
         job = self.submit()
--- a/tests/planner/test_scenarios.py
+++ b/tests/planner/test_scenarios.py
@@ -21,6 +21,11 @@
             with self.subTest(seed=seed):
                 World(Scenario(seed, lost=0.0, late=0.0)).run()
 
+    # Guards against a start after the last failed attempt, whose end was listed after
+    # the lease had expired.
+    def test_end_that_is_listed_late_counts_as_an_attempt(self) -> None:
+        World(Scenario(4001, late=0.0, shrinks=10)).run()
+
 
 if __name__ == "__main__":
     unittest.main()
