--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/isolation.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/isolation.py
@@ -208,10 +208,6 @@
     )
 
 
-def _rank_host(worker: Worker) -> tuple[bool, int]:
-    return (worker.isolation is None, len(worker.task_by_id))
-
-
 def _is_used_by(worker: Worker, job: str) -> bool:
     isolation = worker.isolation
     return isolation is not None and isolation.is_used and isolation.job == job
