--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -120,7 +120,13 @@
 class Deployment:
     """Entry processes, a store and workers, all at loopback addresses."""
 
-    def __init__(self, record: Record, run_time: RunTime, workers: int = 4) -> None:
+    def __init__(
+        self,
+        record: Record,
+        run_time: RunTime,
+        workers: int = 4,
+        saves: bool = False,
+    ) -> None:
         self.record = record
         self.store = Store()
         self.workers = [
@@ -130,6 +136,7 @@
                 run_time,
                 ZONES[number % len(ZONES)],
                 ("a", f"r{number % len(ZONES) + 1}-1"),
+                saves=saves,
             )
             for number in range(workers)
         ]
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -5,13 +5,16 @@
 import asyncio
 import base64
 import struct
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 from .http import Request, Response, Server
 
 RECORD_BYTES = 262_144
 REQUEST_BYTES = 2_097_152
+PARTITION_BYTES = 200_000_000
 APPEND_S = 0.004
+ANSWER_S = 0.004
 PAGE_RECORDS = 500
 PAGE_BYTES = 1_000_000
 REMEMBERED_APPENDS = 5
@@ -23,6 +26,8 @@
     """One topic with its only partition."""
 
     records: list[bytes] = field(default_factory=list)
+    first: int = 0
+    size: int = 0
     newest: dict[str, tuple[int, bytes]] = field(default_factory=dict)
     epoch: int = -1
     sequence: int = -1
@@ -30,17 +35,36 @@
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     changed: asyncio.Condition = field(default_factory=asyncio.Condition)
 
+    @property
+    def end(self) -> int:
+        """Offset of the next record."""
+        return self.first + len(self.records)
+
+    def add(self, data: bytes) -> None:
+        """Add a record; the oldest ones expire once the partition is full."""
+        self.records.append(data)
+        self.size += len(data)
+        if self.size > PARTITION_BYTES:
+            count = len(self.records) // 2
+            self.size -= sum(map(len, self.records[:count]))
+            del self.records[:count]
+            self.first += count
+
 
 class Store:
     """Append, read and newest, with producers, conditions and size limits.
 
     :ivar is_down: whether to answer 503 to the system's calls
+    :ivar slowness: how many times its usual time an answer takes
+    :ivar on_fenced: called when an append raises the epoch of a producer
     """
 
     def __init__(self) -> None:
         self._topic_by_name: dict[str, _Topic] = {}
         self._server = Server(self._handle)
         self.is_down = False
+        self.slowness = 1.0
+        self.on_fenced: Callable[[], Awaitable[None]] | None = None
         self.refused_for_size = 0
         self.largest_record = 0
 
@@ -61,14 +85,14 @@
         return self._topic_by_name.setdefault(name, _Topic())
 
     async def _add(self, name: str, topic: _Topic, records: list[bytes]) -> int:
-        offset = len(topic.records)
+        offset = topic.end
         for data in records:
-            topic.records.append(data)
+            topic.add(data)
             if name.startswith("keyed."):
                 end = 1 + data[0]
                 key, value = data[1:end].decode(), data[end:]
                 if value:
-                    topic.newest[key] = (len(topic.records) - 1, value)
+                    topic.newest[key] = (topic.end - 1, value)
                 else:
                     topic.newest.pop(key, None)
         async with topic.changed:
@@ -78,6 +102,8 @@
     async def _handle(self, request: Request) -> Response | None:
         if self.is_down:
             return Response.from_json(503, {"error": "try later"})
+        if self.slowness > 1.0:
+            await asyncio.sleep(ANSWER_S * self.slowness)
         if request.path == "/log-append":
             return await self._on_append(request)
         if request.path == "/log-read":
@@ -101,11 +127,14 @@
             await asyncio.sleep(APPEND_S)
             if self.is_down:
                 return Response.from_json(503, {"error": "try later"})
-            end = len(topic.records)
+            end = topic.end
             if "at" in request.query and int(request.query["at"]) != end:
                 return Response.from_json(412, {"end": end})
             if "epoch" in request.query:
+                before = topic.epoch
                 early = _check_producer(topic, request)
+                if topic.epoch > before and self.on_fenced is not None:
+                    await self.on_fenced()
                 if early is not None:
                     return early
             offset = await self._add(name, topic, records)
@@ -114,24 +143,26 @@
                 seen[int(request.query["seq"])] = offset
                 for old in sorted(seen)[:-REMEMBERED_APPENDS]:
                     del seen[old]
-            end = len(topic.records)
+            end = topic.end
             return Response.from_json(200, {"offset": offset, "end": end})
 
     async def _on_read(self, request: Request) -> Response:
         topic = self._find(request.query["topic"])
         start = int(request.query["from"])
         wait_s = min(30.0, int(request.query.get("waitMs", "0")) / 1000)
+        if start < topic.first:
+            return Response.from_json(410, {"first": topic.first})
         limit = int(request.query.get("maxKb", "1024")) * 1024
-        if start >= len(topic.records) and wait_s:
+        if start >= topic.end and wait_s:
             try:
                 async with asyncio.timeout(wait_s), topic.changed:
-                    await topic.changed.wait_for(lambda: len(topic.records) > start)
+                    await topic.changed.wait_for(lambda: topic.end > start)
             except TimeoutError:
                 pass
             if self.is_down:
                 return Response.from_json(503, {"error": "try later"})
-        body = struct.pack(">QQ", len(topic.records), 0)
-        for data in topic.records[start:]:
+        body = struct.pack(">QQ", topic.end, topic.first)
+        for data in topic.records[max(0, start - topic.first) :]:
             body += struct.pack(">I", len(data)) + data
             if len(body) > limit:
                 break
@@ -151,7 +182,7 @@
                 break
             items.append({"key": key, "value": text, "offset": offset})
         has_more = len(items) < len(keys)
-        body = {"items": items, "hasMore": has_more, "end": len(topic.records)}
+        body = {"items": items, "hasMore": has_more, "end": topic.end}
         return Response.from_json(200, body)
 
 
@@ -166,7 +197,7 @@
         return None
     if sequence in topic.offset_by_sequence:
         offset = topic.offset_by_sequence[sequence]
-        return Response.from_json(200, {"offset": offset, "end": len(topic.records)})
+        return Response.from_json(200, {"offset": offset, "end": topic.end})
     if sequence != topic.sequence + 1:
         refusal = {"reason": "seq", "seq": topic.sequence + 1}
         return Response.from_json(409, refusal)
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -13,6 +13,7 @@
 ENDS_PER_LIST = 500
 LONGEST_LEASE_MS = 10_000
 STOP_S = 0.05
+CHECKPOINT_S = 1.0
 
 RunTime = Callable[[str], float]
 """Returns how many seconds of work a task takes."""
@@ -57,6 +58,7 @@
         zone: str = "z1",
         labels: tuple[str, ...] = ("a", "r1-1"),
         cpu: int = 64_000,
+        saves: bool = False,
     ) -> None:
         self.id = name
         self.address = ""
@@ -64,9 +66,10 @@
         self.lapses: list[float] = []
         self._service = service
         self._run_time = run_time
-        self._zone = zone
+        self.zone = zone
         self._labels = labels
         self._cpu = cpu
+        self._saves = saves
         self._server: Server | None = None
         self._begin_life()
 
@@ -104,14 +107,15 @@
 
     async def stop(self) -> None:
         """End the stand-in."""
-        await self.crash()
+        if self._server is not None:
+            await self.crash()
 
     def describe(self, state: str = "ready") -> bytes:
         """Return the worker's entry in the store."""
         entry = {
             "service": self._service,
             "address": self.address,
-            "zone": self._zone,
+            "zone": self.zone,
             "version": "v1",
             "slots": 8,
             "state": state,
@@ -239,11 +243,19 @@
             except TimeoutError:
                 pass
         running = [
-            [r.task, r.run, "", self._percent(r)] for r in self._running.values()
+            [r.task, r.run, self._checkpoint(r), self._percent(r)]
+            for r in self._running.values()
         ]
         ends = [[r.number, r.task, r.run, r.how, ""] for r in self._ends]
         return self._answer(200, running=running, endedRuns=ends[:ENDS_PER_LIST])
 
+    def _checkpoint(self, run: Run) -> str:
+        """Return the newest checkpoint: 16 characters, new with each second of work."""
+        worked_s = time.monotonic() - run.began_at
+        if not self._saves or worked_s < CHECKPOINT_S:
+            return run.checkpoint
+        return f"{int(worked_s):08x}{abs(hash(run.task)) % 16**8:08x}"
+
     def _percent(self, run: Run) -> int:
         worked_s = time.monotonic() - run.began_at
         return min(99, int(100 * worked_s / max(0.01, run.work_s)))
