--- a/review/1/case.py
+++ b/review/1/case.py
@@ -47,7 +47,7 @@
         began_at = time.monotonic()
         filler = {"count": WORKERS, "cpu": CPU, "memMb": 100, "estRuntimeMs": 15_000}
         await deployment.submit(FILLER, [filler])
-        step = {"count": 1, "cpu": CPU, "memMb": 100, "estRuntimeMs": 800}
+        step = {"count": 1, "cpu": CPU, "memMb": 100, "estRuntimeMs": 2000}
         await deployment.submit(
             JOB,
             [step],
