--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -67,7 +67,7 @@
         self._service = service
         self._run_time = run_time
         self.zone = zone
-        self._labels = labels
+        self.labels = labels
         self._cpu = cpu
         self._saves = saves
         self._server: Server | None = None
@@ -121,7 +121,7 @@
             "state": state,
             "coldLeftMs": 0,
             "capacity": {"cpu": self._cpu, "memMb": 131_072, "gpu": 0},
-            "labels": list(self._labels),
+            "labels": list(self.labels),
             "clockMs": self._clock_ms,
             "seq": 1,
             "born": self.born,
