--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import traceback
 from collections.abc import Awaitable, Callable
@@ -29,6 +30,9 @@
         record.write(f"the case could not run: {error}")
         print(f"not run: {error}")
         sys.exit(NOT_RUN)
+    except asyncio.CancelledError:
+        record.write("the case could not run: it was told to end")
+        sys.exit(NOT_RUN)
     except Exception:
         record.write("the case could not run:\n" + traceback.format_exc())
         traceback.print_exc()
@@ -43,6 +47,11 @@
 
 
 async def _limit(case: Case, record: Record, has_trouble: bool) -> list[str]:
+    """Play a case; a signal cancels it, so that it ends the processes it started."""
+    task = asyncio.current_task()
+    assert task is not None
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
     try:
         async with asyncio.timeout(LONGEST_S):
             return await case(record, has_trouble)
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -23,7 +23,7 @@
 """The ``run`` line of ``deploy/system.toml``."""
 
 HOST = "desk.example"
-PREFIX = "/work/"
+PREFIX = "/desk/"
 SERVICE = "desk"
 KEY = "key-of-the-desk"
 PORTS = {"front": 8183, "ready": 8184, "control": 8180, "metrics": 9464, "peer": 7420}
