Open every occurrence of a scheduled job after a takeover

Cause: an occurrence has no record until a task of it is placed. A new planner went on from the highest index with a record plus one, and so did the check for the end of a job; an earlier occurrence that waited behind a later one was never created again.

Change: Job.next_occurrence starts at 0 in each term and opens every index in turn, loaded or not. A job ends when all indexes are opened and done; the check also runs when the last one is opened, since loaded occurrences may be done before they are due by the clock of the new host.

Emulator: scheduled jobs are drawn (Scenario.timed), and done tasks are counted by occurrence.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/intake.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/intake.py
@@ -69,7 +69,7 @@
             beyond_share=job.is_beyond_share,
             rules=state.rules.version,
         )
-        self.open_job(job)
+        self.open_job(job, event.now)
 
     def _refuse(self, job_id: str, calls: list[int], now: float) -> None:
         """Reply to callers that a job was refused as the store accepts no writes."""
@@ -140,23 +140,33 @@
                 return f"no worker is large enough for a task of step {number}"
         return ""
 
-    def open_job(self, job: Job) -> None:
-        """Create the occurrences that are due, and schedule the others."""
+    def open_job(self, job: Job, now: float) -> None:
+        """Open the occurrences that are due, and schedule the others."""
         if job.spec.is_timed:
             self._state.timed_by_id[job.spec.id] = job
-            self.open_due_occurrences(job)
+            self.open_due_occurrences(job, now)
             return
-        occurrence = job.occurrences.get(0) or job.add_occurrence(0)
-        self._state.open_steps(occurrence)
+        self._open_next_occurrence(job)
 
-    def open_due_occurrences(self, job: Job) -> None:
-        """Create the occurrences of a job that are due."""
+    def open_due_occurrences(self, job: Job, now: float) -> None:
+        """Open the occurrences of a job that are due."""
         spec = job.spec
-        while job.occurrence_count < spec.occurrences:
-            due_ms = spec.first_due_ms + job.occurrence_count * spec.period_ms
+        before = job.next_occurrence
+        while job.next_occurrence < spec.occurrences:
+            due_ms = spec.first_due_ms + job.next_occurrence * spec.period_ms
             if due_ms > self._state.wall_ms + EARLY_START_S * 1000:
-                return
-            self._state.open_steps(job.add_occurrence(job.occurrence_count))
+                break
+            self._open_next_occurrence(job)
+        if job.next_occurrence > before:
+            # Loaded occurrences may be done before they are due by this host's clock.
+            self.check_finished(job, now)
+
+    def _open_next_occurrence(self, job: Job) -> None:
+        """Open the steps of the next occurrence, which may have been loaded."""
+        index = job.next_occurrence
+        occurrence = job.occurrences.get(index) or job.add_occurrence(index)
+        job.next_occurrence += 1
+        self._state.open_steps(occurrence)
 
     def on_cancel(self, event: CancelRequested) -> None:
         """Cancel a job; its tasks are stopped once the cancellation is stored."""
@@ -186,7 +196,7 @@
     def check_finished(self, job: Job, now: float) -> None:
         """Complete a job if all its occurrences are done."""
         times = max(1, job.spec.occurrences)
-        if job.occurrence_count < times:
+        if job.next_occurrence < times:
             return
         if all(occurrence.is_done for occurrence in job.occurrences.values()):
             self._state.finish(job, JobState.COMPLETED, now)
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
@@ -168,7 +168,9 @@
 class Job:
     """State of one accepted job.
 
-    :param occurrence_count: number of occurrences created so far
+    :param next_occurrence: lowest index that this planner has not yet opened: an
+        occurrence has no record until a task of it is placed, so records of later
+        occurrences say nothing about it
     :param outcome: final state, once decided
     :param is_stored: whether the record of the job is stored
     :param is_final_stored: whether the final state is stored
@@ -180,7 +182,7 @@
 
     spec: JobSpec
     occurrences: dict[int, Occurrence] = field(default_factory=dict)
-    occurrence_count: int = 0
+    next_occurrence: int = 0
     outcome: JobState | None = None
     is_stored: bool = False
     is_final_stored: bool = False
@@ -222,7 +224,6 @@
             ]
             occurrence.steps.append(step)
         self.occurrences[index] = occurrence
-        self.occurrence_count = max(self.occurrence_count, index + 1)
         return occurrence
 
     def tasks(self) -> Iterator[Task]:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
@@ -116,7 +116,7 @@
             state.crashed_task_by_id.update(
                 (task.id, task) for task in job.tasks() if task.crashes
             )
-            self._intake.open_job(job)
+            self._intake.open_job(job, now)
             for occurrence in job.occurrences.values():
                 state.open_steps(occurrence)
             self._intake.check_finished(job, now)
@@ -258,7 +258,7 @@
         if state.batches.is_stalled(event.now):
             self._intake.refuse_unstored(state.batches.pending, event.now)
         for job in list(state.timed_by_id.values()):
-            self._intake.open_due_occurrences(job)
+            self._intake.open_due_occurrences(job, event.now)
         self._reconciler.expire_leases(event.now)
         for member in state.advice_requests.expire(event.now):
             state.note("advice_expired", member=member)
--- a/testkit/planning/rule_checker.py
+++ b/testkit/planning/rule_checker.py
@@ -6,10 +6,11 @@
 from typing import TYPE_CHECKING
 
 from jacinthloom_core.planner.events import EndKind
+from jacinthloom_core.planner.specs import StepId
 
 if TYPE_CHECKING:
     from jacinthloom_core.planner.effects import Start
-    from jacinthloom_core.planner.specs import JobSpec, StepId, StepSpec, TaskId
+    from jacinthloom_core.planner.specs import JobSpec, StepSpec, TaskId
 
     from .worker import VirtualWorker
 
@@ -18,6 +19,9 @@
 """Seconds after an acknowledged cancel after which no task of the job may start."""
 
 
+MAX_EARLY_S = 0.25
+"""Seconds by which an occurrence may start before its time."""
+
 MAX_CRASHES = 3
 """Workers that a task may crash before its starts are counted."""
 
@@ -85,6 +89,9 @@
         if now - self.cancel_stored_at.get(task.job, now) > CANCEL_GRACE_S:
             raise RuleViolationError(f"{task} starts long after its job was cancelled")
         step = self.find_step(task)
+        due_s = (spec.first_due_ms + task.occurrence * spec.period_ms) / 1000
+        if spec.is_timed and now < due_s - MAX_EARLY_S:
+            raise RuleViolationError(f"{task} starts at {now} s, but is due at {due_s}")
         for number in step.after:
             earlier = spec.steps[number]
             for position in range(earlier.count):
@@ -204,12 +211,14 @@
             )
         if state == "completed":
             spec = self.job_by_id[job]
-            for number, step in enumerate(spec.steps):
-                finished = [t for t in self.done if t.job == job and t.step == number]
-                if len(finished) < (1 if step.gang else step.count):
-                    raise RuleViolationError(
-                        f"{job} is reported as completed, but step {number} is not done"
-                    )
+            done_by_step = Counter(t.step_id for t in self.done if t.job == job)
+            for occurrence in range(max(1, spec.occurrences)):
+                for number, step in enumerate(spec.steps):
+                    step_id = StepId(job, occurrence, number)
+                    if done_by_step[step_id] < (1 if step.gang else step.count):
+                        raise RuleViolationError(
+                            f"{job} is reported as completed, but {step_id} is not done"
+                        )
         if state == "cancelled" and job not in self.cancel_requested_at:
             raise RuleViolationError(
                 f"{job} is reported as cancelled, but no cancel was requested"
--- a/testkit/planning/worker.py
+++ b/testkit/planning/worker.py
@@ -18,7 +18,7 @@
 
     from jacinthloom_core.model.resources import Resources
     from jacinthloom_core.planner.effects import PollWorker, Start, Stop
-    from jacinthloom_core.planner.specs import TaskId
+    from jacinthloom_core.planner.specs import StepId, TaskId
 
     from .clock import VirtualClock
     from .rule_checker import RuleChecker
@@ -59,18 +59,18 @@
     def __init__(self, checker: RuleChecker) -> None:
         self._checker = checker
         self._present_by_gang: dict[
-            tuple[str, int, int], dict[TaskId, VirtualWorker]
+            tuple[StepId, int], dict[TaskId, VirtualWorker]
         ] = {}
 
     def join(self, worker: VirtualWorker, task: TaskId, run: int) -> bool:
         """Add a member and return whether all members are present."""
-        members = self._present_by_gang.setdefault((task.job, task.step, run), {})
+        members = self._present_by_gang.setdefault((task.step_id, run), {})
         members[task] = worker
         return len(members) == self._checker.find_step(task).count
 
     def find_members(self, task: TaskId, run: int) -> dict[TaskId, VirtualWorker]:
         """Return the members of a task's gang that are present, and their workers."""
-        return self._present_by_gang.get((task.job, task.step, run), {})
+        return self._present_by_gang.get((task.step_id, run), {})
 
 
 class VirtualWorker:
--- a/testkit/planning/world.py
+++ b/testkit/planning/world.py
@@ -4,7 +4,7 @@
 
 import zlib
 from collections import Counter, deque
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -58,6 +58,7 @@
     :param shrinks: number of times that the capacity of a worker shrinks for a while
     :param deadly: share of jobs with tasks that crash the workers that start them
     :param deadly_delay_s: seconds from such a start to the crash
+    :param timed: share of jobs that run several times, at scheduled times
     """
 
     seed: int
@@ -70,6 +71,7 @@
     shrinks: int = 0
     deadly: float = 0.0
     deadly_delay_s: float = 0.01
+    timed: float = 0.0
 
 
 class VirtualStore:
@@ -104,6 +106,8 @@
         self.term = term
         self.is_alive = True
         self.is_frozen = False
+        self.has_authority = True
+        """Whether it may send starts; lost if another was elected during a freeze."""
         self._deferred: deque[Callable[[], None]] = deque()
         settings = PlannerSettings(term, LEASE_S, 120.0)
         self.planner = world.make_planner(settings)
@@ -130,6 +134,7 @@
     def unfreeze(self) -> None:
         """Resume, and run the deferred callbacks."""
         self.is_frozen = False
+        self.has_authority = self.term == self._world.store.term
         while self._deferred and not self.is_frozen:
             self._deferred.popleft()()
 
@@ -168,6 +173,7 @@
         self._authority_random = Random(f"authority {scenario.seed}")
         self._deadly_random = Random(f"deadly {scenario.seed}")
         self._shrink_random = Random(f"shrink {scenario.seed}")
+        self._timed_random = Random(f"timed {scenario.seed}")
         self.scenario = scenario
         self.make_planner = make_planner
         self.clock = VirtualClock()
@@ -288,11 +294,21 @@
         spec = JobSpec(
             job, queue, client_account, payload, steps, int(self.clock.now * 1000)
         )
+        if self._timed_random.random() < self.scenario.timed:
+            spec = self._draw_times(spec)
         self.checker.job_by_id[job] = spec
         self._submit(spec, 6)
         if self.random.random() < 0.15:
             self.clock.after(self.random.uniform(0, 4), lambda: self._cancel(job))
 
+    def _draw_times(self, spec: JobSpec) -> JobSpec:
+        return replace(
+            spec,
+            first_due_ms=spec.received_ms + self._timed_random.randrange(3_000),
+            period_ms=self._timed_random.randrange(200, 4_000),
+            occurrences=self._timed_random.choice((2, 3, 4)),
+        )
+
     def _draw_step(self, number: int) -> StepSpec:
         is_gang = self.random.random() < 0.3
         return StepSpec(
@@ -521,9 +537,11 @@
         execute: Callable[[PlannerProcess, VirtualWorker, object, bool], None],
     ) -> None:
         worker = self._find_worker(command.worker)
-        if isinstance(command, effects.Start) and self._draws_withheld_start():
-            self._report_withheld(process, command)
-            return
+        if isinstance(command, effects.Start):
+            is_withheld = self._draws_withheld_start()
+            if is_withheld or not process.has_authority:
+                self._report_withheld(process, command)
+                return
         draw = self.random.random() if self.has_faults else 1.0
         latency = NETWORK_LATENCY_S * self.random.uniform(0.5, 3)
         if self._is_partitioned(worker) or not worker.is_up:
