Settle runs by complete lists of a worker only

Cause: a worker lists 500 ended runs at a time until they are acknowledged, and they are acknowledged once stored. With the store away, the planner took the runs behind the first 500 as lost and requeued them.

Change: WorkerPolled.is_complete. Runs that a list lacks are settled only by complete lists, whichever way: started, running, barred, or placed on an earlier incarnation. A worker with more ends is polled without a wait.

Emulator: Scenario.ends_per_list.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/events.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/events.py
@@ -160,6 +160,8 @@
     :param token: fencing token that the poll carried
     :param incarnation: start of the worker's incarnation, Unix time in milliseconds
     :param clock_ms: the worker's clock when it answered, in milliseconds
+    :param is_complete: whether the lists are whole, so that a run which they lack is
+        neither running nor waiting for its end to be listed
     """
 
     worker: str
@@ -169,6 +171,7 @@
     clock_ms: int
     running: tuple[RunProgress, ...]
     ends: tuple[RunEnd, ...]
+    is_complete: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/fleet.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/fleet.py
@@ -84,6 +84,7 @@
     :param seen_end: number of the last end that was processed
     :param confirmed_cursor: cursor that the worker has confirmed
     :param sent_cursor: cursor that the poll in flight carries; 0 for none
+    :param has_unlisted_ends: whether its latest lists were cut off
     :param unstored_polls: polls since the last one that listed no unstored ends
     :param poll_due: time at which the next poll may be sent
     :param answered_at: time of the last response to a poll
@@ -111,6 +112,7 @@
     seen_end: int = 0
     confirmed_cursor: int = 0
     sent_cursor: int = 0
+    has_unlisted_ends: bool = False
     unstored_polls: int = 0
     is_polling: bool = False
     poll_due: float = 0.0
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/reconciler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/reconciler.py
@@ -15,6 +15,8 @@
 from .run_end_handler import QUARANTINE_S, RunEndHandler
 
 if TYPE_CHECKING:
+    from collections.abc import Set
+
     from .events import (
         RunProgress,
         StartAnswered,
@@ -84,7 +86,9 @@
             lease_s = self._state.settings.lease_s
             deadline_ms = worker.compute_deadline_ms(now, lease_s)
             worker.extend_lease(now, lease_s)
-        waits = renews and worker.seen_end == worker.cursor
+        waits = (
+            renews and worker.seen_end == worker.cursor and not worker.has_unlisted_ends
+        )
         worker.is_polling = True
         # The cursor is sent until it is confirmed, but not after a failure: a new
         # incarnation would apply it to its own list, and drop ends from it.
@@ -131,6 +135,7 @@
         if worker.fenced_incarnation != event.incarnation:
             worker.fenced_incarnation = event.incarnation
             self._state.needs_pass = True
+        worker.has_unlisted_ends = not event.is_complete
         self._reduce_ends(worker, event)
         self._reconcile_runs(worker, event)
 
@@ -202,29 +207,37 @@
         progress_by_run = {
             (progress.task, progress.run): progress for progress in event.running
         }
+        if event.is_complete:
+            self._requeue_unlisted(worker, progress_by_run.keys(), event)
+        for task in list(worker.task_by_id.values()):
+            progress = progress_by_run.pop((task.id, task.run), None)
+            if progress is not None:
+                self._confirm(task, worker, progress, event.now)
+        for progress in progress_by_run.values():
+            self._stop_foreign(worker, progress)
+
+    def _requeue_unlisted(
+        self, worker: Worker, listed: Set[tuple[TaskId, int]], event: WorkerPolled
+    ) -> None:
+        """Give up the runs that are missing from complete lists of a worker."""
+        unlisted = [
+            task
+            for task in worker.task_by_id.values()
+            if (task.id, task.run) not in listed
+        ]
         self._requeue_lost_with_worker(
             worker,
-            [
-                task
-                for task in worker.task_by_id.values()
-                if task.incarnation != event.incarnation
-                and (task.id, task.run) not in progress_by_run
-            ],
+            [task for task in unlisted if task.incarnation != event.incarnation],
             RESTARTED,
             event.now,
         )
         worker.loss = None
-        for task in list(worker.task_by_id.values()):
-            progress = progress_by_run.pop((task.id, task.run), None)
-            if progress is not None:
-                self._confirm(task, worker, progress, event.now)
-            else:
-                self._reconcile_unlisted(task, worker, event)
+        for task in unlisted:
+            if task.worker == worker.id:
+                self._reconcile_unlisted(task, event)
         for task_id, run in list(worker.foreign_runs):
-            if (task_id, run) not in progress_by_run:
+            if (task_id, run) not in listed:
                 worker.release(*worker.foreign_runs.pop((task_id, run)))
-        for progress in progress_by_run.values():
-            self._stop_foreign(worker, progress)
 
     def _confirm(
         self, task: Task, worker: Worker, progress: RunProgress, now: float
@@ -246,9 +259,7 @@
         if is_unwanted and task.state is not TaskState.DONE:
             self._state.stop(task)
 
-    def _reconcile_unlisted(
-        self, task: Task, worker: Worker, event: WorkerPolled
-    ) -> None:
+    def _reconcile_unlisted(self, task: Task, event: WorkerPolled) -> None:
         if task.state is TaskState.PLACED:
             return
         if task.state is TaskState.STARTING:
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_runner.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_runner.py
@@ -379,6 +379,7 @@
                 response.clock_ms,
                 response.running,
                 response.ends,
+                response.is_complete,
             )
         )
 
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/worker_client.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/worker_client.py
@@ -32,6 +32,10 @@
 HOLD_TIMEOUT_MARGIN_S = 0.6
 """Seconds that the timeout of a hold request exceeds its wait time."""
 
+MAX_LISTED_ENDS = 500
+"""Ended runs that a worker lists at a time; it lists further ones once these are
+acknowledged."""
+
 OUTCOME_BY_REASON = {
     "fence": StartOutcome.FENCED,
     "old": StartOutcome.STALE_RUN,
@@ -56,12 +60,14 @@
 
     :param incarnation: start time of the worker's incarnation, in Unix milliseconds
     :param clock_ms: the worker's clock when it responded, in milliseconds
+    :param is_complete: whether the lists are whole; false if they may have been cut off
     """
 
     incarnation: int
     clock_ms: int
     running: tuple[RunProgress, ...]
     ends: tuple[RunEnd, ...]
+    is_complete: bool
 
 
 class WorkerClient:
@@ -100,7 +106,8 @@
             raise UnavailableError(
                 f"unreadable response to a hold: {error}", True
             ) from error
-        return HoldResponse(decoded.born, decoded.clockMs, running, ends)
+        is_complete = len(decoded.endedRuns) < MAX_LISTED_ENDS
+        return HoldResponse(decoded.born, decoded.clockMs, running, ends, is_complete)
 
     async def start(self, start: Start) -> StartOutcome:
         """Order a start and return its outcome."""
--- a/testkit/planning/worker.py
+++ b/testkit/planning/worker.py
@@ -85,10 +85,12 @@
         gang_registry: GangRegistry,
         random: Random,
         on_deadly_start: Callable[[VirtualWorker, TaskId], None] = lambda *_: None,
+        ends_per_list: int = 500,
     ) -> None:
         """Create a worker that is up.
 
         :param on_deadly_start: called when a task starts that crashes its workers
+        :param ends_per_list: ended runs that it lists at a time
         """
         self.id = name
         self.capacity = capacity
@@ -99,6 +101,7 @@
         self._gang_registry = gang_registry
         self._random = random
         self._on_deadly_start = on_deadly_start
+        self._ends_per_list = ends_per_list
         self.incarnation = 1
         self.is_up = True
         self.fails_all = False
@@ -299,7 +302,7 @@
             RunProgress(task, run.run, run.checkpoint, self._measure_percent(run))
             for task, run in self._run_by_task.items()
         )
-        return running, tuple(self._ends)
+        return running, tuple(self._ends[: self._ends_per_list])
 
     def _measure_percent(self, run: _Run) -> int:
         if not run.is_working:
--- a/testkit/planning/world.py
+++ b/testkit/planning/world.py
@@ -59,6 +59,7 @@
     :param deadly: share of jobs with tasks that crash the workers that start them
     :param deadly_delay_s: seconds from such a start to the crash
     :param timed: share of jobs that run several times, at scheduled times
+    :param ends_per_list: ended runs that a worker lists at a time
     """
 
     seed: int
@@ -72,6 +73,7 @@
     deadly: float = 0.0
     deadly_delay_s: float = 0.01
     timed: float = 0.0
+    ends_per_list: int = 500
 
 
 class VirtualStore:
@@ -206,6 +208,7 @@
             self.gang_registry,
             self.random,
             self._on_deadly_start,
+            self.scenario.ends_per_list,
         )
 
     @property
@@ -667,6 +670,7 @@
                 )
                 return
             running, ends = response
+            is_complete = len(ends) < self.scenario.ends_per_list
             answering_incarnation, clock_ms = worker.incarnation, int(worker.clock_ms)
             self._handle_later(
                 process,
@@ -679,6 +683,7 @@
                     clock_ms,
                     running,
                     ends,
+                    is_complete,
                 ),
             )
 
