Keep the records of a job's tasks until its final state is stored

Cause: a batch that the store refused is encoded again. If its job had ended meanwhile, the records of its tasks were dropped with this batch, while the final state waited in the next one. A planner elected between the two found the job without any task done, and ran it again.

Change: a batch drops them only if the final state is stored or in the same batch.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/batches.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/batches.py
@@ -95,13 +95,22 @@
         records = [encode_queue(queue) for queue in self.queues.values()]
         records += [encode_job(job) for job in self.jobs.values()]
         for (job_id, index), occurrence in self.occurrences.items():
-            if occurrence.job.is_over and not occurrence.job.has_placements:
+            if self._may_drop(occurrence.job):
                 self.dropped.append(f"{job_id}.{index}")
             else:
                 records.append(encode_occurrence(occurrence))
         records += [encode_removal(key) for key in dict.fromkeys(self.dropped)]
         return tuple(records)
 
+    def _may_drop(self, job: Job) -> bool:
+        """Whether a job's final state is stored no later than this batch.
+
+        A refused batch is encoded again, and its jobs may have ended meanwhile: their
+        final state is then in the next batch.
+        """
+        is_final_kept = job.is_final_stored or job.spec.id in self.jobs
+        return job.is_over and is_final_kept and not job.has_placements
+
 
 class BatchQueue:
     """Queue of batches to append to the store.
