Confine the errors of one record or call to it

Cause: the HTTP client parses the address at the first poll and raises ValueError. An unexpected error of any task ended the term, and every planner of a later term met the same entry.

Change: addresses are checked where they enter, in entries, settings and what members tell each other. An unexpected error of a call to a worker counts as a call without an answer; a record that raises costs itself; feeds and lasting tasks of a process are supervised one by one and start again. Each has a log line, records also a count at /metrics.

--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/feeds.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/feeds.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from jacinthloom_core.planner.rules import Rules
@@ -38,8 +39,13 @@
     read_interval_s: float = 0.0
     """Pause between two reads, in seconds, to batch changes."""
 
-    def __init__(self, store: LogStore) -> None:
+    def __init__(self, store: LogStore, ignored: Counter[str]) -> None:
+        """Create a feed.
+
+        :param ignored: counts, by topic, the records that could not be used
+        """
         self._store = store
+        self._ignored = ignored
         self._is_reachable = True
 
     async def follow(self) -> None:
@@ -52,6 +58,9 @@
             except PlatformError as error:
                 self._set_reachable(False, str(error))
                 await asyncio.sleep(RETRY_INTERVAL_S)
+            except Exception as error:
+                log.write_failure("feed_failed", error, topic=self.topic)
+                await asyncio.sleep(RETRY_INTERVAL_S)
 
     async def _follow_once(self) -> None:
         newest = await self._store.read_newest(self.topic)
@@ -84,9 +93,18 @@
         try:
             key, value = decode_keyed(data)
         except InvalidDataError as error:
+            self._ignored[self.topic] += 1
             log.write("record_ignored", topic=self.topic, reason=str(error))
             return
-        self.on_change(key, value)
+        self.apply_change(key, value)
+
+    def apply_change(self, key: str, value: bytes) -> None:
+        """Apply a change; a record that raises is ignored, so that others follow."""
+        try:
+            self.on_change(key, value)
+        except Exception as error:
+            self._ignored[self.topic] += 1
+            log.write_failure("record_failed", error, topic=self.topic, key=key)
 
     @abstractmethod
     def on_newest(self, value_by_key: dict[str, bytes]) -> None:
@@ -105,10 +123,11 @@
     def __init__(
         self,
         store: LogStore,
+        ignored: Counter[str],
         on_rules: Callable[[Rules], None],
         on_zones: Callable[[frozenset[str]], None],
     ) -> None:
-        super().__init__(store)
+        super().__init__(store, ignored)
         self._on_rules = on_rules
         self._on_zones = on_zones
         self.rules = Rules()
@@ -124,7 +143,8 @@
         }
         self._apply_zones(frozenset(zones))
         if topics.CONFIGURATION_KEY in value_by_key:
-            self._apply_rules(value_by_key[topics.CONFIGURATION_KEY])
+            key = topics.CONFIGURATION_KEY
+            self.apply_change(key, value_by_key[key])
 
     def on_change(self, key: str, value: bytes) -> None:
         """Apply one change."""
@@ -140,6 +160,7 @@
         try:
             rules = decode_rules(value)
         except InvalidDataError as error:
+            self._ignored[self.topic] += 1
             log.write("configuration_ignored", reason=str(error))
             return
         if rules.version <= self.rules.version:
@@ -164,10 +185,11 @@
     def __init__(
         self,
         store: LogStore,
+        ignored: Counter[str],
         on_listed: Callable[[WorkerEntry], None],
         on_unlisted: Callable[[str], None],
     ) -> None:
-        super().__init__(store)
+        super().__init__(store, ignored)
         self._on_listed = on_listed
         self._on_unlisted = on_unlisted
         self._entry_by_id: dict[str, WorkerEntry] = {}
@@ -179,18 +201,20 @@
             if worker not in value_by_key:
                 self._remove(worker)
         for worker, value in value_by_key.items():
-            self.on_change(worker, value)
+            self.apply_change(worker, value)
 
     def on_change(self, key: str, value: bytes) -> None:
         """Apply one change of an entry."""
         if not value:
             self._remove(key)
+            self._ignored_workers.discard(key)
             return
         try:
             entry = decode_worker(key, value)
         except InvalidDataError as error:
             if key not in self._ignored_workers:
                 self._ignored_workers.add(key)
+                self._ignored[self.topic] += 1
                 log.write("worker_entry_ignored", worker=key, reason=str(error))
             self._remove(key)
             return
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/log.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/log.py
@@ -49,7 +49,8 @@
         try:
             os.write(self._descriptor, msgspec.json.encode(line) + b"\n")
             self.dropped = 0
-        except OSError:
+        except (OSError, ValueError, OverflowError, TypeError):
+            # A line that can't be encoded must not end what it reports on.
             self.dropped += 1
 
     def _take_token(self) -> bool:
@@ -77,6 +78,11 @@
     logging.getLogger("jacinthloom").info(event, extra={"fields": fields})
 
 
-def write_failure(event: str, error: BaseException | None) -> None:
-    """Write a line with the traceback of an error."""
-    logging.getLogger("jacinthloom").error(event, exc_info=error)
+def write_failure(event: str, error: BaseException | None, **fields: Any) -> None:
+    """Write a line with the traceback of an error.
+
+    :param fields: further fields of the line, by name
+    """
+    logging.getLogger("jacinthloom").error(
+        event, exc_info=error, extra={"fields": fields}
+    )
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/metrics.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/metrics.py
@@ -27,6 +27,7 @@
     :param calls: number of responses to clients, by method and status
     :param decisions: decisions of the planner, by kind; empty in other processes
     :param is_planner: whether this process is the planner
+    :param ignored_records: records of the store that could not be used, by topic
     """
 
     def __init__(
@@ -35,7 +36,9 @@
         latencies: tuple[LatencyHistogram, ...],
         decisions: Callable[[], Mapping[str, int]],
         is_planner: Callable[[], bool],
+        ignored_records: Mapping[str, int],
     ) -> None:
+        self._ignored_records = ignored_records
         self._calls = calls
         self._latencies = latencies
         self._decisions = decisions
@@ -57,6 +60,14 @@
         for kind, count in sorted(self._decisions().items()):
             decisions.add_metric([kind], count)
         yield decisions
+        ignored = CounterMetricFamily(
+            "jacinthloom_ignored_records",
+            "Records of the store that could not be used.",
+            labels=["topic"],
+        )
+        for topic, count in sorted(self._ignored_records.items()):
+            ignored.add_metric([topic], count)
+        yield ignored
         planner = GaugeMetricFamily("jacinthloom_is_planner", "Whether it plans.")
         planner.add_metric([], float(self._is_planner()))
         yield planner
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_client.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_client.py
@@ -12,7 +12,13 @@
 from jacinthloom_core.planner.election import REPORT_UNREACHABLE_AFTER_S, Term
 
 from . import log, messages
-from .streams import CONNECT_TIMEOUT_S, PING_INTERVAL_S, SILENCE_TIMEOUT_S, request_term
+from .streams import (
+    CONNECT_TIMEOUT_S,
+    PING_INTERVAL_S,
+    SILENCE_TIMEOUT_S,
+    open_stream,
+    request_term,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -191,11 +197,10 @@
             self._writer.write(messages.encode(message))
 
     async def _keep_connected(self, term: Term) -> None:
-        host, _, port = term.address.rpartition(":")
         while True:
             try:
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                    reader, writer = await asyncio.open_connection(host, int(port))
+                    reader, writer = await open_stream(term.address)
             except (OSError, TimeoutError) as error:
                 is_refused = isinstance(error, ConnectionRefusedError)
                 if is_refused and self._election.on_connection_refused(term.number):
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_runner.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_runner.py
@@ -25,6 +25,7 @@
 from .feeds import WorkerFeed
 
 if TYPE_CHECKING:
+    from collections import Counter
     from collections.abc import Callable, Coroutine, Mapping
     from typing import Any
 
@@ -60,6 +61,7 @@
     :param request_advice: requests advice from a member
     :param has_authority: whether no other member can have claimed yet
     :param on_refused: called when the store has rejected a batch
+    :param ignored_records: counts, by topic, the records that could not be used
     """
 
     def __init__(
@@ -70,7 +72,9 @@
         has_authority: Callable[[], bool],
         append_latency: LatencyHistogram,
         on_refused: Callable[[], None],
+        ignored_records: Counter[str],
     ) -> None:
+        self._ignored_records = ignored_records
         self._append_latency = append_latency
         self._on_refused = on_refused
         self._store = store
@@ -115,7 +119,9 @@
         self._planner.load(records, now, _wall_ms())
         self.on_rules(rules)
         self.on_zones(zones_out)
-        feed = WorkerFeed(self._store, self._on_listed, self._on_unlisted)
+        feed = WorkerFeed(
+            self._store, self._ignored_records, self._on_listed, self._on_unlisted
+        )
         self._spawn(feed.follow())
         self.is_ready.set()
         log.write("planner_ready", term=self._term, records=len(records))
@@ -331,11 +337,20 @@
             client = self._client_by_worker[worker] = WorkerClient(worker, address)
         return client
 
+    def _on_call_failed(self, worker: str, error: Exception) -> None:
+        """Log an unexpected error of a call, which concerns only its worker."""
+        self._planner.state.counters["worker_call_failed"] += 1
+        log.write_failure("worker_call_failed", error, worker=worker)
+
     async def _start(self, start: effects.Start) -> None:
-        client = self._find_client(start.worker, start.address)
         outcome = events.StartOutcome.WITHHELD
-        if self._has_authority():
-            outcome = await client.start(start)
+        try:
+            client = self._find_client(start.worker, start.address)
+            if self._has_authority():
+                outcome = await client.start(start)
+        except Exception as error:
+            self._on_call_failed(start.worker, error)
+            outcome = events.StartOutcome.UNKNOWN
         self.handle(
             events.StartAnswered(
                 time.monotonic(), start.worker, start.task, start.run, outcome
@@ -343,8 +358,12 @@
         )
 
     async def _stop(self, stop: effects.Stop) -> None:
-        client = self._find_client(stop.worker, stop.address)
-        is_confirmed = await client.stop(stop)
+        is_confirmed = False
+        try:
+            client = self._find_client(stop.worker, stop.address)
+            is_confirmed = await client.stop(stop)
+        except Exception as error:
+            self._on_call_failed(stop.worker, error)
         self.handle(
             events.StopAnswered(
                 time.monotonic(), stop.worker, stop.task, stop.run, is_confirmed
@@ -352,21 +371,28 @@
         )
 
     async def _throttle(self, throttle: effects.Throttle) -> None:
-        client = self._find_client(throttle.worker, throttle.address)
-        if not await client.pace(throttle):
+        is_confirmed = False
+        try:
+            client = self._find_client(throttle.worker, throttle.address)
+            is_confirmed = await client.pace(throttle)
+        except Exception as error:
+            self._on_call_failed(throttle.worker, error)
+        if not is_confirmed:
             log.write("pace_failed", task=list(throttle.task), on=throttle.worker)
 
     async def _poll_worker(self, poll: effects.PollWorker) -> None:
-        client = self._find_client(poll.worker, poll.address)
         sent_at = time.monotonic()
         try:
+            client = self._find_client(poll.worker, poll.address)
             response = await client.hold(poll)
         except FencedError:
             self.handle(
                 events.WorkerPollFailed(time.monotonic(), poll.worker, fenced=True)
             )
             return
-        except PlatformError:
+        except Exception as error:
+            if not isinstance(error, PlatformError):
+                self._on_call_failed(poll.worker, error)
             self.handle(events.WorkerPollFailed(time.monotonic(), poll.worker))
             return
         self.handle(
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
@@ -6,6 +6,7 @@
 import secrets
 import signal
 import time
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from jacinthloom_core.planner.election import MIN_TERM_BEFORE_HANDOVER_S, Election
@@ -26,7 +27,7 @@
 from .planner_server import PlannerServer
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
+    from collections.abc import Callable, Coroutine
     from typing import Any
 
     from jacinthloom_core.planner.effects import RequestAdvice
@@ -49,6 +50,9 @@
 REACHABILITY_INTERVAL_S = 0.5
 """Seconds between two checks whether members reach the planner."""
 
+TASK_RESTART_INTERVAL_S = 0.2
+"""Seconds until a task of the process is restarted after an unexpected error."""
+
 MAX_CONNECTIONS = 2_000
 """Limit of client connections: half of the file descriptors of the smallest hosts."""
 
@@ -78,7 +82,10 @@
         self._planner_server = PlannerServer(
             self._election, self._planner_client.set_peers
         )
-        self._operator_feed = OperatorFeed(self._store, self._on_rules, self._on_zones)
+        self._ignored_records: Counter[str] = Counter()
+        self._operator_feed = OperatorFeed(
+            self._store, self._ignored_records, self._on_rules, self._on_zones
+        )
         self._client_handler = ClientHandler(self._operator_feed, self._planner_client)
         self._runner: PlannerRunner | None = None
         self._term_began_at = 0.0
@@ -91,6 +98,7 @@
             (self._client_handler.latency, self._append_latency),
             lambda: self._runner.counters if self._runner is not None else {},
             lambda: self._runner is not None,
+            self._ignored_records,
         )
         self._tasks: set[asyncio.Task[None]] = set()
         self._stopping = asyncio.Event()
@@ -112,10 +120,10 @@
         await metrics.start(f"{host_ip}:{METRICS_PORT}")
         await readiness.start(settings.ready_address)
         await self._planner_server.start(settings.peer_address)
-        self._spawn(self._operator_feed.follow())
-        self._spawn(self._watch_reachability())
-        self._spawn(self._planner_client.query_peers())
-        election = self._spawn(self._election_follower.follow())
+        self._spawn(self._keep_running(self._operator_feed.follow))
+        self._spawn(self._keep_running(self._watch_reachability))
+        self._spawn(self._keep_running(self._planner_client.query_peers))
+        election = self._spawn(self._keep_running(self._election_follower.follow))
         await clients.start(settings.front_address)
         await self._stopping.wait()
         stop_at = time.monotonic() + settings.grace_s - STOP_MARGIN_S
@@ -137,6 +145,17 @@
         task.add_done_callback(self._on_task_done)
         return task
 
+    async def _keep_running(
+        self, work: Callable[[], Coroutine[Any, Any, None]]
+    ) -> None:
+        """Run a task that lasts as long as the process; restart it if it raises."""
+        while True:
+            try:
+                await work()
+            except Exception as error:
+                log.write_failure("task_restarted", error, task=work.__qualname__)
+            await asyncio.sleep(TASK_RESTART_INTERVAL_S)
+
     def _on_task_done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
@@ -235,6 +254,7 @@
             self._has_authority,
             self._append_latency,
             self._election_follower.renew_now,
+            self._ignored_records,
         )
         self._runner = runner
         self._term_began_at = time.monotonic()
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/node_settings.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/node_settings.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from jacinthloom_wire.addresses import AddressError, split_address
+
 from .errors import SettingsError
 
 PATH_VARIABLE = "JACINTHLOOM_NODE_FILE"
@@ -82,7 +84,7 @@
             ready_address=reader.address("listen.ready"),
             peer_address=f"{reader.text('ip')}:{first_port}",
             store_address=reader.address("platform.address"),
-            advice_address=reader.text("recommendation", ""),
+            advice_address=reader.address("recommendation", ""),
             longest_lease_s=reader.number("bounds.holdMaxMs", "10000") / 1000,
             status_s=reader.number("bounds.status_s", "120"),
             grace_s=reader.number("bounds.graceS", "6"),
@@ -109,9 +111,12 @@
         except ValueError as error:
             raise SettingsError(f"{name}: {value!r} is not a number") from error
 
-    def address(self, name: str) -> str:
-        value = self.text(name)
-        host, colon, port = value.rpartition(":")
-        if not (host and colon and port.isdigit()):
-            raise SettingsError(f"{name}: {value!r} is not of the form host:port")
+    def address(self, name: str, default: str | None = None) -> str:
+        value = self.text(name, default)
+        if value == default:
+            return value
+        try:
+            split_address(value)
+        except AddressError as error:
+            raise SettingsError(f"{name}: {error}") from error
         return value
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/schemas.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/schemas.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import math
 from typing import Any, Literal, TypeVar
 
@@ -14,6 +15,7 @@
 from jacinthloom_core.planner.fleet import WorkerEntry
 from jacinthloom_core.planner.rules import AdvicePolicy, ClientAccount, Queue, Rules
 from jacinthloom_core.planner.specs import JobSpec, StepId, StepSpec, TaskId
+from jacinthloom_wire.addresses import AddressError, split_address
 
 from .errors import InvalidDataError
 
@@ -184,7 +186,11 @@
     remainingMs: float | None = None  # noqa: N815
 
     def to_entry(self, worker: str) -> WorkerEntry:
-        """Return the core's type."""
+        """Return the core's type.
+
+        :raises InvalidDataError: if the address is malformed
+        """
+        _check_worker_address(self.address)
         remaining_s = None if self.remainingMs is None else self.remainingMs / 1000
         return WorkerEntry(
             worker,
@@ -200,6 +206,20 @@
         )
 
 
+def _check_worker_address(address: str) -> None:
+    """Check that an address can be dialled without a name lookup.
+
+    :raises InvalidDataError: if it is not of the form ``IPv4:port``
+    """
+    try:
+        host, port = split_address(address)
+        ipaddress.IPv4Address(host)
+    except (AddressError, ipaddress.AddressValueError) as error:
+        raise InvalidDataError(str(error)) from error
+    if not port:
+        raise InvalidDataError(f"address {address!r} has port 0")
+
+
 class OrderResponseBody(msgspec.Struct):
     """A worker's response to an order."""
 
--- a/packages/jacinthloom-wire/src/jacinthloom_wire/http_client.py
+++ b/packages/jacinthloom-wire/src/jacinthloom_wire/http_client.py
@@ -9,6 +9,7 @@
 
 import h11
 
+from .addresses import split_address
 from .errors import FormatError, StatusError, TransportError
 
 if TYPE_CHECKING:
@@ -79,14 +80,13 @@
 
     :param address: ``host:port``, optionally followed by a path prefix
     :param max_idle: maximum number of idle connections kept open
+    :raises AddressError: if the address is malformed
     """
 
     def __init__(self, address: str, max_idle: int = MAX_IDLE_CONNECTIONS) -> None:
         self._max_idle = max_idle
-        host, _, rest = address.partition(":")
-        port, slash, prefix = rest.partition("/")
-        self._host = host
-        self._port = int(port)
+        authority, slash, prefix = address.partition("/")
+        self._host, self._port = split_address(authority)
         self._path_prefix = slash + prefix
         self._idle: list[_Connection] = []
 
@@ -142,8 +142,12 @@
                 connection.state.start_next_cycle()
                 return connection
             connection.close()
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            reader, writer = await asyncio.open_connection(self._host, self._port)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(self._host, self._port)
+        except UnicodeError as error:
+            # The resolver rejects some host names in this way.
+            raise ConnectionError(f"the host can't be resolved: {error}") from error
         return _Connection(reader, writer)
 
     def _encode(
--- a/tests/test_hosted_processes.py
+++ b/tests/test_hosted_processes.py
@@ -7,7 +7,7 @@
 import signal
 import unittest
 
-from testkit.hosted.deployment import Deployment
+from testkit.hosted.deployment import SERVICE, Deployment
 
 STEPS = [
     {"count": 3, "cpu": 500, "memMb": 100, "estRuntimeMs": 300},
@@ -112,6 +112,30 @@
         await self.wait_for(self.planner, job, "completed")
         self.assertEqual(self.count_starts("00000000000000a7"), {})
 
+    # Guards against planners that end one after the other because of one entry among
+    # the workers whose address can't be dialled.
+    async def test_entries_with_malformed_addresses_are_ignored(self) -> None:
+        store, worker = self.deployment.store, self.deployment.workers[0]
+        entry = json.loads(worker.describe(SERVICE))
+        for number, address in enumerate(
+            (
+                "http://127.0.0.9:8080",
+                "127.0.0.9",
+                "127.0.0.9:99999",
+                "",
+                ":",
+                "\u0000:1",
+            )
+        ):
+            odd = json.dumps(entry | {"address": address}).encode()
+            await store.put("keyed.servers", f"odd-{number}", odd)
+        job = "00000000000000b1"
+        self.assertEqual(await self.submit(self.other, job), 200)
+        await self.wait_for(self.other, job, "completed")
+        events = [line["event"] for line in self.deployment.read_log(self.planner)]
+        self.assertEqual(events.count("worker_entry_ignored"), 6)
+        self.assertNotIn("planner_failed", events)
+
     async def test_configuration_survives_truncation_of_the_log(self) -> None:
         for topic in ("keyed.op", "keyed.servers", "planner"):
             await self.deployment.store.truncate(topic)
