Apply what changes while a planner loads its records

Cause: the process passed rules and zones when the load began, and dropped changes until it had ended.

Change: PlannerRunner.on_rules and on_zones take the first value and each change, keep the newest, and pass it on after the load. A load ends with its term.

Related paths: a configuration was lost in the same way. Workers, draining and members are read or connect after the load; keys are checked by the process that takes the call.

Evidence: tests/test_entry_process.py, test_changes_while_the_planner_loads_are_in_force, failed before (version 1 in place of 7).

--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_runner.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_runner.py
@@ -10,6 +10,7 @@
 
 from jacinthloom_core.planner import effects, events
 from jacinthloom_core.planner.planner import TICK_S, Planner
+from jacinthloom_core.planner.rules import Rules
 from jacinthloom_core.planner.state import PlannerSettings
 
 from ..platform import topics
@@ -32,7 +33,6 @@
     from jacinthloom_core.planner.effects import Effect
     from jacinthloom_core.planner.events import Event
     from jacinthloom_core.planner.fleet import WorkerEntry
-    from jacinthloom_core.planner.rules import Rules
 
     from ..metrics import LatencyHistogram
     from ..platform.log_store import LogStore
@@ -80,6 +80,8 @@
         self._store = store
         self._planner = Planner(settings)
         self._term = settings.term
+        self._rules = Rules()
+        self._zones_out: frozenset[str] = frozenset()
         self._request_advice = request_advice
         self._has_authority = has_authority
         self._appended_batches = 0
@@ -109,16 +111,18 @@
         """Number of decisions, by kind."""
         return self._planner.state.counters
 
-    async def run(self, rules: Rules, zones_out: frozenset[str]) -> None:
+    async def run(self) -> None:
         """Load the stored jobs, then plan until the term ends.
 
         :raises FencedError: if the planner of a later term has taken over
         """
         records = await self._load()
+        if self.ended.is_set():
+            return
         now = time.monotonic()
         self._planner.load(records, now, _wall_ms())
-        self.on_rules(rules)
-        self.on_zones(zones_out)
+        self.handle(events.RulesChanged(now, self._rules))
+        self.handle(events.ZonesChanged(now, self._zones_out))
         feed = WorkerFeed(
             self._store, self._ignored_records, self._on_listed, self._on_unlisted
         )
@@ -131,7 +135,7 @@
 
     async def _load(self) -> dict[str, bytes]:
         """Fence the planners of earlier terms, then read the job records."""
-        while True:
+        while not self.ended.is_set():
             try:
                 fence = Producer(topics.PRODUCER, self._term, 0)
                 await self._store.append(topics.JOBS, (), producer=fence)
@@ -140,6 +144,7 @@
             except UnavailableError as error:
                 log.write("load_failed", term=self._term, reason=str(error))
                 await asyncio.sleep(RETRY_INTERVAL_S)
+        return {}
 
     def end(self, reason: str) -> None:
         """Stop planning."""
@@ -197,12 +202,16 @@
         self.handle(events.FlushDue(time.monotonic()))
 
     def on_rules(self, rules: Rules) -> None:
-        """Apply a new configuration."""
-        self.handle(events.RulesChanged(time.monotonic(), rules))
+        """Apply a configuration, at the latest when the records are loaded."""
+        self._rules = rules
+        if self.is_ready.is_set():
+            self.handle(events.RulesChanged(time.monotonic(), rules))
 
     def on_zones(self, zones: frozenset[str]) -> None:
-        """Set the availability zones that are out of service."""
-        self.handle(events.ZonesChanged(time.monotonic(), zones))
+        """Set the zones that are out of service, at the latest after the load."""
+        self._zones_out = zones
+        if self.is_ready.is_set():
+            self.handle(events.ZonesChanged(time.monotonic(), zones))
 
     def on_member(self, member: str, is_connected: bool) -> None:
         """Add or remove a member that can query the advice service."""
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
@@ -177,12 +177,12 @@
         return ServerResponse.from_json(200 if is_ready else 503, {})
 
     def _on_rules(self, rules: Rules) -> None:
-        if self._runner is not None and self._runner.is_ready.is_set():
+        if self._runner is not None:
             self._runner.on_rules(rules)
 
     def _on_zones(self, zones: frozenset[str]) -> None:
         log.write("zones_out", zones=sorted(zones))
-        if self._runner is not None and self._runner.is_ready.is_set():
+        if self._runner is not None:
             self._runner.on_zones(zones)
 
     async def _watch_reachability(self) -> None:
@@ -258,10 +258,10 @@
         )
         self._runner = runner
         self._term_began_at = time.monotonic()
+        runner.on_rules(self._operator_feed.rules)
+        runner.on_zones(self._operator_feed.zones_out)
         await self._operator_feed.has_rules.wait()
-        run = asyncio.create_task(
-            runner.run(self._operator_feed.rules, self._operator_feed.zones_out)
-        )
+        run = asyncio.create_task(runner.run())
         ready = asyncio.create_task(runner.is_ready.wait())
         try:
             await asyncio.wait({run, ready}, return_when=asyncio.FIRST_COMPLETED)
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -1,4 +1,4 @@
-"""Tasks of an entry process that last as long as the process."""
+"""Tasks and terms of an entry process."""
 
 from __future__ import annotations
 
@@ -6,10 +6,84 @@
 import unittest
 from typing import Any, cast
 
+from jacinthloom_core.planner.election import Term
+from jacinthloom_core.planner.rules import Queue, Rules
+from jacinthloom_daemon.hosted.planner_runner import PlannerRunner
 from jacinthloom_daemon.hosted.process import EntryProcess
+from jacinthloom_daemon.platform import topics
+from jacinthloom_daemon.platform.errors import FencedError
+from jacinthloom_daemon.platform.log_store import NewestRecords, ReadRecords
+from jacinthloom_daemon.platform.node_settings import NodeSettings
+
+from .platform_adapter.test_schemas import SETTINGS
+
+NEWER = Rules(7, {"q": Queue("q", "h", "/q/", "pool")})
+
+
+class SlowStore:
+    """A store whose job records can be read only when the test lets them.
+
+    :ivar fence: epoch of the latest producer
+    """
+
+    def __init__(self) -> None:
+        self.fence = 0
+        self.loads: list[asyncio.Event] = []
+
+    async def append(self, topic: str, *args: object, **kwargs: Any) -> int:
+        producer = kwargs.get("producer")
+        if producer is not None:
+            if producer.epoch < self.fence:
+                raise FencedError("a later planner has appended")
+            self.fence = producer.epoch
+        return 0
+
+    async def read_newest(self, topic: str) -> NewestRecords:
+        if topic == topics.JOBS:
+            load = asyncio.Event()
+            self.loads.append(load)
+            await load.wait()
+        return NewestRecords({}, 0)
+
+    async def read(self, topic: str, start: int, wait_s: float) -> ReadRecords:
+        await asyncio.sleep(wait_s)
+        return ReadRecords(start, (), start)
 
 
 class EntryProcessTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.process = EntryProcess(NodeSettings.from_text(SETTINGS))
+        self.store = SlowStore()
+        self.process._store = cast("Any", self.store)
+        feed = self.process._operator_feed
+        feed.rules = Rules(1)
+        feed.has_rules.set()
+        self.addCleanup(self.end)
+
+    def end(self) -> None:
+        for task in self.process._tasks:
+            task.cancel()
+
+    def begin_term(self, number: int) -> None:
+        process = self.process
+        term = Term(number, process._member, "10.0.0.1:1")
+        process._election.term = term
+        process._on_term(term)
+
+    async def wait_for_load(self, count: int) -> asyncio.Event:
+        async with asyncio.timeout(1):
+            while len(self.store.loads) < count:
+                await asyncio.sleep(0.005)
+        return self.store.loads[count - 1]
+
+    async def wait_until_ready(self) -> PlannerRunner:
+        async with asyncio.timeout(1):
+            while True:
+                planner = self.process._planner_client._local_planner
+                if planner is not None:
+                    return planner
+                await asyncio.sleep(0.005)
+
     # Guards against a process that goes on serving while a task of it has ended, and so
     # follows neither the configuration nor the election any more.
     async def test_lasting_task_is_restarted_after_an_error(self) -> None:
@@ -23,12 +97,42 @@
             await asyncio.Event().wait()
 
         with self.assertLogs("jacinthloom", "ERROR"):
-            keep_running = EntryProcess._keep_running(cast("Any", None), fail_once)
-            task = asyncio.create_task(keep_running)
+            self.process._spawn(self.process._keep_running(fail_once))
             async with asyncio.timeout(2):
                 while starts < 2:
                     await asyncio.sleep(0.01)
-        task.cancel()
+
+    # Guards against a planner that goes by replaced orders of the operator for its
+    # whole term, since they were replaced while it loaded its records.
+    async def test_changes_while_the_planner_loads_are_in_force(self) -> None:
+        self.begin_term(5)
+        load = await self.wait_for_load(1)
+        self.process._on_rules(NEWER)
+        self.process._on_zones(frozenset({"z1"}))
+        load.set()
+        state = (await self.wait_until_ready())._planner.state
+        self.assertEqual(state.rules.version, NEWER.version)
+        self.assertEqual(state.zones_out, {"z1"})
+        self.process._on_zones(frozenset())
+        self.assertEqual(state.zones_out, frozenset())
+
+    # Guards against changes that are lost in the moments around the load: before it
+    # begins, and for the second of two terms.
+    async def test_changes_between_two_terms_are_in_force(self) -> None:
+        self.process._operator_feed.has_rules.clear()
+        self.begin_term(5)
+        await asyncio.sleep(0.01)
+        self.process._on_zones(frozenset({"z1"}))
+        self.process._operator_feed.zones_out = frozenset({"z1"})
+        self.begin_term(6)
+        self.process._on_rules(NEWER)
+        self.process._operator_feed.rules = NEWER
+        self.process._operator_feed.has_rules.set()
+        (await self.wait_for_load(1)).set()
+        state = (await self.wait_until_ready())._planner.state
+        self.assertEqual(state.settings.term, 6)
+        self.assertEqual(state.rules.version, NEWER.version)
+        self.assertEqual(state.zones_out, {"z1"})
 
 
 if __name__ == "__main__":
