Let a late load leave the planner of a later term in service

Cause: when a term of a process ended while its records were loading, and the process was elected again, the first load cleared the planner of the second term in its clean-up: its clients were cut off and its own calls found no planner until the next election. The renewals of the first term went on beside those of the second, and advice asked for by the first was handed to the second.

Change: a process removes a planner only if it is the one that ended; streams are closed for that planner alone. Renewals belong to one term, and answers of the advice service go to the planner that asked.

Found by the review in reading (two loads that overlap). Evidence: test_late_load_of_an_earlier_term_does_not_end_the_later_one failed before: the later planner was gone.

--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/elections.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/elections.py
@@ -150,7 +150,7 @@
         self._announce_term()
 
     async def renew(self) -> None:
-        """Renew this member's claim for as long as it is the newest.
+        """Renew this member's claim of the current term for as long as it holds.
 
         After a period of failed renewals, abdicate so that other members may claim.
         """
@@ -158,7 +158,12 @@
         failures = 0
         is_outcome_unknown = False
         self._is_renewing = True
-        while self._election.is_planner and self._is_renewing:
+        term = self._election.term
+        while (
+            self._is_renewing
+            and self._election.is_planner
+            and self._election.term == term
+        ):
             sent_at = time.monotonic()
             try:
                 offset = await self._append(ElectionAction.RENEW)
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_client.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_client.py
@@ -107,12 +107,17 @@
         """
         self._peers = addresses
 
-    def set_local_planner(self, runner: PlannerRunner | None) -> None:
-        """Set or clear the planner in this process, which is then called directly."""
+    def set_local_planner(self, runner: PlannerRunner) -> None:
+        """Set the planner in this process, which is then called directly."""
         self._local_planner = runner
-        if runner is not None:
-            self._connected.set()
-        elif self._writer is None:
+        self._connected.set()
+
+    def remove_local_planner(self, runner: PlannerRunner) -> None:
+        """Stop calling a planner of this process, unless a later one replaced it."""
+        if self._local_planner is not runner:
+            return
+        self._local_planner = None
+        if self._writer is None:
             self._mark_disconnected()
 
     def measure_outage_s(self) -> float:
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_server.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_server.py
@@ -45,14 +45,18 @@
         host, _, port = address.rpartition(":")
         self._server = await asyncio.start_server(self._accept, host, int(port))
 
-    def set_runner(self, runner: PlannerRunner | None) -> None:
-        """Set the planner to serve; None closes every stream."""
+    def set_runner(self, runner: PlannerRunner) -> None:
+        """Set the planner to serve."""
         self._runner = runner
-        if runner is not None:
-            self._has_runner.set()
-        else:
+        self._has_runner.set()
+
+    def remove_runner(self, runner: PlannerRunner) -> None:
+        """Close the streams to a planner, and stop serving it if it is the latest."""
+        if self._runner is runner:
+            self._runner = None
             self._has_runner.clear()
-            for session in list(self._sessions):
+        for session in list(self._sessions):
+            if session.runner is runner:
                 session.close()
 
     def send_advice_order(self, member: str, order: messages.AdviceOrder) -> bool:
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
@@ -278,8 +278,9 @@
                 self._election_follower.stop_renewing()
             if self._runner is runner:
                 self._runner = None
-            self._planner_client.set_local_planner(None)
-            self._planner_server.set_runner(None)
+            # The planner of a later term may have begun meanwhile.
+            self._planner_client.remove_local_planner(runner)
+            self._planner_server.remove_runner(runner)
             runner.close()
             self._planner_client.query_peers_now()
 
@@ -290,15 +291,15 @@
 
     def _request_advice(self, request: RequestAdvice) -> None:
         order = messages.AdviceOrder(request.step, request.workers, request.timeout_s)
-        if request.member == self._member:
-            self._spawn(self._advise_locally(order))
+        if request.member == self._member and self._runner is not None:
+            self._spawn(self._advise_locally(order, self._runner))
         elif not self._planner_server.send_advice_order(request.member, order):
             log.write("advice_not_sent", member=request.member)
 
-    async def _advise_locally(self, order: messages.AdviceOrder) -> None:
-        answer = await self._answer_advice_order(order)
-        if self._runner is not None:
-            self._runner.on_advised(self._member, answer)
+    async def _advise_locally(
+        self, order: messages.AdviceOrder, runner: PlannerRunner
+    ) -> None:
+        runner.on_advised(self._member, await self._answer_advice_order(order))
 
     async def _answer_advice_order(
         self, order: messages.AdviceOrder
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -134,6 +134,23 @@
         self.assertEqual(state.rules.version, NEWER.version)
         self.assertEqual(state.zones_out, {"z1"})
 
+    # Guards against a term whose load ends late and takes the planner of the next term
+    # of the same process out of service.
+    async def test_late_load_of_an_earlier_term_does_not_end_the_later_one(
+        self,
+    ) -> None:
+        self.begin_term(5)
+        late = await self.wait_for_load(1)
+        self.begin_term(6)
+        (await self.wait_for_load(2)).set()
+        planner = await self.wait_until_ready()
+        late.set()
+        await asyncio.sleep(0.1)
+        self.assertIs(self.process._planner_client._local_planner, planner)
+        self.assertIs(self.process._planner_server._runner, planner)
+        self.assertIs(self.process._runner, planner)
+        self.assertFalse(planner.ended.is_set())
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_planner_streams.py
+++ b/tests/test_planner_streams.py
@@ -91,6 +91,7 @@
         for member in self.members:
             await member.server.start(member.address)
         self.term = Term(1, "m0", self.members[0].address)
+        self.planner = cast("Any", FakePlanner())
         self.tasks: list[asyncio.Task[None]] = []
 
     async def asyncTearDown(self) -> None:
@@ -98,13 +99,13 @@
             task.cancel()
         for member in self.members:
             member.planner_client.set_term(None)
-            member.server.set_runner(None)
+            member.server.remove_runner(self.planner)
         await asyncio.sleep(0.1)  # lets the tasks of closed streams end
 
     async def connect(self) -> None:
         for member in self.members:
             member.set_term(self.term)
-        self.members[0].server.set_runner(FakePlanner())  # type: ignore[arg-type]
+        self.members[0].server.set_runner(self.planner)
         async with asyncio.timeout(5):
             while self.members[0].server.count_members() < 2:
                 await asyncio.sleep(0.02)
@@ -113,7 +114,9 @@
         await self.connect()
         planner, successor, _ = self.members
         successor.election.term = Term(9, "m1", successor.address)
-        planner.server.set_runner(None)  # fenced by a worker; the log can't be read
+        planner.server.remove_runner(
+            self.planner
+        )  # fenced by a worker; the log can't be read
         self.tasks.append(asyncio.create_task(planner.planner_client.query_peers()))
         async with asyncio.timeout(5):
             while not planner.learned_terms:
@@ -135,7 +138,7 @@
         caller = self.members[1].planner_client
         call = asyncio.create_task(caller.call(messages.Show(0, "a" * 16), 2.0, 2.0))
         await asyncio.sleep(0.3)
-        self.members[0].server.set_runner(FakePlanner())  # type: ignore[arg-type]
+        self.members[0].server.set_runner(self.planner)
         began = asyncio.get_running_loop().time()
         answer = await call
         self.assertEqual(answer.state, "running")
