Bar unanswered starts on workers that are out of service

Cause: a start without an answer was repeated as long as its worker answered polls, without looking again at drain and zone.

Change: such a start is barred by a stop instead, and the task is placed again once the worker's list settles it.

Emulator: Scenario.evacuations and Scenario.drains, with both rules in the checker for starts that are not carried out late.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
@@ -276,16 +276,18 @@
             self.state.note("step_waits", step=list(step_id), reason=reason)
 
     def _retry_starts(self, now: float) -> None:
-        for task in list(self.state.unknown_start_by_id.values()):
+        state = self.state
+        for task in list(state.unknown_start_by_id.values()):
             if now < task.retry_at or task.state is not TaskState.STARTING:
                 continue
-            worker = self.state.worker_by_id[task.worker]
+            worker = state.worker_by_id[task.worker]
             if worker.failed_polls or worker.incarnation != task.incarnation:
                 continue
             task.retry_at = now + 1.0
-            is_over = task.step.occurrence.job.is_over
-            if task.is_stopping or is_over or worker.is_overcommitted:
-                self.state.stop(task)
+            is_unwanted = task.is_stopping or task.step.occurrence.job.is_over
+            is_unfit = worker.is_overcommitted or not state.is_in_service(worker)
+            if is_unwanted or is_unfit:
+                state.stop(task)
             else:
                 self._start_dispatcher.send_start(task, now)
 
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/state.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/state.py
@@ -98,9 +98,17 @@
 
     def is_usable(self, worker: Worker, now: float) -> bool:
         """Whether a worker may be given tasks."""
-        if not worker.is_usable(now) or worker.entry is None:
-            return False
-        return worker.entry.zone not in self.zones_out
+        return worker.is_usable(now) and self.is_in_service(worker)
+
+    def is_in_service(self, worker: Worker) -> bool:
+        """Whether neither the worker drains nor its zone is out of service."""
+        entry = worker.entry
+        return (
+            entry is not None
+            and worker.is_listed
+            and entry.is_ready
+            and entry.zone not in self.zones_out
+        )
 
     def mark_changed(self, worker_id: str) -> Worker:
         """Return a known worker, and check after this event if its next poll is due."""
--- a/testkit/planning/rule_checker.py
+++ b/testkit/planning/rule_checker.py
@@ -19,6 +19,12 @@
 """Seconds after an acknowledged cancel after which no task of the job may start."""
 
 
+EVACUATION_GRACE_S = 5.0
+"""Seconds after the evacuation of a zone after which no task may start there."""
+
+DRAIN_GRACE_S = 2.0
+"""Seconds after which no task may start on a worker that drains."""
+
 MAX_EARLY_S = 0.25
 """Seconds by which an occurrence may start before its time."""
 
@@ -65,6 +71,9 @@
         self._unexplained_losses: Counter[TaskId] = Counter()
         self._starts_after_crashes: Counter[TaskId] = Counter()
         self._last_started_at: dict[TaskId, float] = {}
+        self.zone_out_since: dict[str, float] = {}
+        self.draining_since: dict[str, float] = {}
+        """Time since which each worker drains."""
         self.usage_by_client_account: dict[str, int] = defaultdict(int)
         """Processors of running tasks, in millicores."""
 
@@ -132,6 +141,15 @@
         if worker.count_used_processors() > worker.binding_capacity.processors:
             raise RuleViolationError(f"{worker.id} runs more than its capacity allows")
 
+    def check_place(self, worker: VirtualWorker, task: TaskId, now: float) -> None:
+        """Check that a start keeps to evacuations and draining workers."""
+        out_since = self.zone_out_since.get(worker.zone, now)
+        if now - out_since > EVACUATION_GRACE_S:
+            raise RuleViolationError(f"{task} starts in {worker.zone}, which is out")
+        draining_since = self.draining_since.get(worker.id, now)
+        if now - draining_since > DRAIN_GRACE_S:
+            raise RuleViolationError(f"{task} starts on {worker.id}, which drains")
+
     def _count_start_after_crashes(self, task: TaskId) -> None:
         if self.crashes_by_task[task] < MAX_CRASHES:
             return
--- a/testkit/planning/worker.py
+++ b/testkit/planning/worker.py
@@ -86,6 +86,7 @@
         random: Random,
         on_deadly_start: Callable[[VirtualWorker, TaskId], None] = lambda *_: None,
         ends_per_list: int = 500,
+        zone: str = "z0",
     ) -> None:
         """Create a worker that is up.
 
@@ -93,6 +94,7 @@
         :param ends_per_list: ended runs that it lists at a time
         """
         self.id = name
+        self.zone = zone
         self.capacity = capacity
         self.binding_capacity = capacity
         """Capacity that starts must keep to; lags behind one that has shrunk."""
@@ -158,8 +160,11 @@
         self.is_up = True
         self._incarnation_began_at = self._clock.now
 
-    def start(self, start: Start) -> StartOutcome:
-        """Start a run, unless its token, number or deadline is too old."""
+    def start(self, start: Start, is_late: bool = False) -> StartOutcome:
+        """Start a run, unless its token, number or deadline is too old.
+
+        :param is_late: whether the order is carried out long after it was sent
+        """
         if start.token < self._token:
             return StartOutcome.FENCED
         self._token = start.token
@@ -177,6 +182,8 @@
         self._run_by_task[start.task] = run
         self._highest_run_by_task[start.task] = start.run
         self._checker.on_start(self, start, self._clock.now)
+        if not is_late:
+            self._checker.check_place(self, start.task, self._clock.now)
         if self._is_deadly(start.task):
             self._on_deadly_start(self, start.task)
         step = self._checker.find_step(start.task)
--- a/testkit/planning/world.py
+++ b/testkit/planning/world.py
@@ -41,6 +41,9 @@
 """Seconds until a worker's entry shows a change of its capacity."""
 SHRINK_GRACE_S = 4.5
 """Seconds after which starts must keep to a capacity that has shrunk."""
+ZONES = ("z0", "z1")
+MAX_CHANGE_DELAY_S = 0.5
+"""Seconds until a planner learns of an evacuation or a draining worker."""
 REPLACED_SUFFIX = "'"
 """Added to the name of a worker that takes the place and the address of another."""
 
@@ -60,6 +63,9 @@
     :param deadly_delay_s: seconds from such a start to the crash
     :param timed: share of jobs that run several times, at scheduled times
     :param ends_per_list: ended runs that a worker lists at a time
+    :param evacuations: number of times that an availability zone is taken out of
+        service for a while
+    :param drains: number of times that a worker drains for a while
     """
 
     seed: int
@@ -74,6 +80,8 @@
     deadly_delay_s: float = 0.01
     timed: float = 0.0
     ends_per_list: int = 500
+    evacuations: int = 0
+    drains: int = 0
 
 
 class VirtualStore:
@@ -118,6 +126,7 @@
         records = dict(world.store.value_by_key) if load else {}
         self.planner.load(records, now, int(now * 1000))
         self.handle(events.RulesChanged(now, world.rules))
+        self.handle(events.ZonesChanged(now, frozenset(world.zones_out)))
         self.handle(events.MemberJoined(now, "member"))
         for worker in world.workers.values():
             if worker.is_up:
@@ -176,6 +185,9 @@
         self._deadly_random = Random(f"deadly {scenario.seed}")
         self._shrink_random = Random(f"shrink {scenario.seed}")
         self._timed_random = Random(f"timed {scenario.seed}")
+        self._change_random = Random(f"change {scenario.seed}")
+        self.zones_out: set[str] = set()
+        self._draining_workers: set[str] = set()
         self.scenario = scenario
         self.make_planner = make_planner
         self.clock = VirtualClock()
@@ -209,6 +221,7 @@
             self.random,
             self._on_deadly_start,
             self.scenario.ends_per_list,
+            _find_zone(name),
         )
 
     @property
@@ -222,8 +235,8 @@
             worker.id,
             "service",
             f"{worker.id.rstrip(REPLACED_SUFFIX)}:1",
-            "z",
-            True,
+            worker.zone,
+            worker.id not in self._draining_workers,
             worker.capacity,
             frozenset({"a", "r1-1"}),
             "r1-1",
@@ -242,6 +255,12 @@
         for _ in range(self.scenario.shrinks):
             delay_s = self._shrink_random.uniform(1, FAULTS_END_S)
             self.clock.after(delay_s, self._shrink_random_worker)
+        for _ in range(self.scenario.evacuations):
+            delay_s = self._change_random.uniform(1, FAULTS_END_S)
+            self.clock.after(delay_s, self._evacuate_random_zone)
+        for _ in range(self.scenario.drains):
+            delay_s = self._change_random.uniform(1, FAULTS_END_S)
+            self.clock.after(delay_s, self._drain_random_worker)
         self._enforce_leases()
         self.clock.run_until(SCENARIO_END_S)
         self._check_final_states()
@@ -404,6 +423,42 @@
         self._set_capacity(worker, Resources(1_000, 1_000))
         worker.binding_capacity = worker.capacity
 
+    def _evacuate_random_zone(self) -> None:
+        zone = self._change_random.choice(ZONES)
+        if self.zones_out:
+            return
+        self._set_zones_out({zone})
+        duration_s = self._change_random.uniform(6, 15)
+        self.clock.after(duration_s, lambda: self._set_zones_out(set()))
+
+    def _set_zones_out(self, zones: set[str]) -> None:
+        self.zones_out = zones
+        self.checker.zone_out_since = {zone: self.clock.now for zone in zones}
+        delay_s = self._change_random.uniform(0, MAX_CHANGE_DELAY_S)
+        self.clock.after(delay_s, self._report_zones)
+
+    def _report_zones(self) -> None:
+        process = self.current_process
+        if process is not None:
+            event = events.ZonesChanged(self.clock.now, frozenset(self.zones_out))
+            process.run(lambda: process.handle(event))
+
+    def _drain_random_worker(self) -> None:
+        worker = self._change_random.choice(list(self.workers.values()))
+        if worker.id in self._draining_workers or not worker.is_up:
+            return
+        self._draining_workers.add(worker.id)
+        self.checker.draining_since[worker.id] = self.clock.now
+        delay_s = self._change_random.uniform(0, MAX_CHANGE_DELAY_S)
+        self.clock.after(delay_s, lambda: self._report_listed(worker))
+        duration_s = self._change_random.uniform(6, 15)
+        self.clock.after(duration_s, lambda: self._end_drain(worker))
+
+    def _end_drain(self, worker: VirtualWorker) -> None:
+        self._draining_workers.discard(worker.id)
+        self.checker.draining_since.pop(worker.id, None)
+        self._report_listed(worker)
+
     def _set_capacity(self, worker: VirtualWorker, capacity: Resources) -> None:
         worker.capacity = capacity
         delay_s = self._shrink_random.uniform(0, HEARTBEAT_INTERVAL_S)
@@ -553,7 +608,8 @@
             delay = self.random.uniform(2, 12)
             incarnation = worker.incarnation
             self.clock.after(
-                delay, lambda: self._execute_unanswered(worker, command, incarnation)
+                delay,
+                lambda: self._execute_unanswered(worker, command, incarnation, True),
             )
             self.clock.after(0.8, lambda: execute(process, worker, command, False))
         else:
@@ -593,13 +649,14 @@
         worker: VirtualWorker,
         command: effects.Start | effects.Stop,
         incarnation: int,
+        is_late: bool = False,
     ) -> None:
         """Execute a command whose answer is lost, if its incarnation still runs."""
         if not worker.is_up or worker.incarnation != incarnation:
             return
         if isinstance(command, effects.Start):
             if self._has_valid_ticket(command):
-                worker.start(command)
+                worker.start(command, is_late)
         else:
             worker.stop(command)
 
@@ -730,6 +787,10 @@
         return self._partitioned_until.get(worker.id, -1.0) > self.clock.now
 
 
+def _find_zone(worker: str) -> str:
+    return ZONES[zlib.crc32(worker.rstrip(REPLACED_SUFFIX).encode()) % len(ZONES)]
+
+
 def _kill_process(process: PlannerProcess) -> None:
     process.is_alive = False
 
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -58,11 +58,12 @@
         feed = self.process._operator_feed
         feed.rules = Rules(1)
         feed.has_rules.set()
-        self.addCleanup(self.end)
 
-    def end(self) -> None:
-        for task in self.process._tasks:
+    async def asyncTearDown(self) -> None:
+        tasks = list(self.process._tasks)
+        for task in tasks:
             task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     def begin_term(self, number: int) -> None:
         process = self.process
