Keep the test of an entry process off the network

The election follower of the test used the store of the settings, so a connection was left open when the test ended: the tests passed, but printed 'Event loop is closed'. It now uses the test's store. One comprehension in testkit follows the linter.

--- a/testkit/planning/world.py
+++ b/testkit/planning/world.py
@@ -433,7 +433,7 @@
 
     def _set_zones_out(self, zones: set[str]) -> None:
         self.zones_out = zones
-        self.checker.zone_out_since = {zone: self.clock.now for zone in zones}
+        self.checker.zone_out_since = dict.fromkeys(zones, self.clock.now)
         delay_s = self._change_random.uniform(0, MAX_CHANGE_DELAY_S)
         self.clock.after(delay_s, self._report_zones)
 
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -55,6 +55,7 @@
         self.process = EntryProcess(NodeSettings.from_text(SETTINGS))
         self.store = SlowStore()
         self.process._store = cast("Any", self.store)
+        self.process._election_follower._store = cast("Any", self.store)
         feed = self.process._operator_feed
         feed.rules = Rules(1)
         feed.has_rules.set()
