Reject odd entries and bodies where they are decoded

Cause: the JSON decoder raises RecursionError for deep nesting, which nothing expected, and numbers had no range: a start time of more than 64 bits can be neither stored nor logged.

Change: ranges for the numbers of entries, and RecursionError is an invalid body. An entry of a service that no configuration names is not called. The same cause on related bodies: jobs of callers (400), time budgets of any length, request targets, rows of holds and advice, values of the store, messages of members, log lines. A list with rows that can't be read counts as cut off. An unknown reason for an end is an end. A status of 500, 502 or 504 says nothing about an append, so it is not "refused". The capacity of a worker is rounded down, no longer up.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/events.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/events.py
@@ -24,6 +24,8 @@
     """Another member of the gang ended."""
     GANG_INCOMPLETE = "alone"
     """The worker stopped waiting for the other members of the gang to start."""
+    OTHER = "other"
+    """The worker gave a reason that is not known here."""
 
 
 class StartOutcome(Enum):
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
@@ -105,7 +105,7 @@
         state.wall_ms = wall_ms
         state.job_by_id, unreadable = load_jobs(records, now)
         queues, unreadable_queues = load_queues(records)
-        state.queue_by_name.update(queues)
+        state.add_queues(queues)
         state.stored_queue_by_name.update(queues)
         for job in state.job_by_id.values():
             for task in job.tasks():
@@ -221,7 +221,8 @@
             loaded = list(self.state.job_by_id.values())
             self.state.shares.classify(loaded, event.rules)
         self.state.rules = event.rules
-        self.state.queue_by_name.update(event.rules.queue_by_name)
+        self.state.add_queues(event.rules.queue_by_name)
+        self.state.services |= event.rules.services
         self.state.needs_pass = True
         self.state.note("rules_changed", version=event.rules.version)
 
@@ -235,13 +236,11 @@
         job = self.state.job_by_id.get(event.step.job)
         queue = self.state.queue_by_name.get(job.spec.queue) if job else None
         valid_s = queue.advice.valid_s if queue and queue.advice else 0.0
+        worker_by_id = self.state.worker_by_id
         tickets = {
-            name: Ticket(
-                self.state.get_or_add_worker(name).incarnation,
-                text,
-                event.now + valid_s,
-            )
+            name: Ticket(worker_by_id[name].incarnation, text, event.now + valid_s)
             for name, text in event.good
+            if name in worker_by_id
         }
         advice_requests.on_answered(event.member, event.step, event.asked, tickets)
         self.state.needs_pass = True
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/reconciler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/reconciler.py
@@ -73,6 +73,8 @@
                 continue
             if not worker.is_listed and not worker.task_by_id and worker.failed_polls:
                 continue
+            if worker.entry.service not in state.services and not worker.task_by_id:
+                continue
             self._send_poll(worker, now)
 
     def _send_poll(self, worker: Worker, now: float) -> None:
@@ -198,6 +200,9 @@
             self._state.batches.pending.ends.append(end)
         if worker.seen_end == worker.cursor:
             worker.unstored_polls = 0
+            if worker.has_unlisted_ends and worker.confirmed_cursor == worker.cursor:
+                # No new ends follow the acknowledged ones: a row can't be read.
+                worker.poll_due = event.now + POLL_RETRY_S
             return
         delay_s = UNSTORED_POLL_S * 2**worker.unstored_polls
         worker.poll_due = event.now + min(MAX_UNSTORED_POLL_S, delay_s)
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/rules.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/rules.py
@@ -66,6 +66,7 @@
 
     :param client_account_by_key: name of the client account that each key belongs to
     :param max_body_bytes: size limit of a request body
+    :param services: names of the pools of workers
     """
 
     version: int = 0
@@ -73,6 +74,7 @@
     client_account_by_name: dict[str, ClientAccount] = field(default_factory=dict)
     client_account_by_key: dict[str, str] = field(default_factory=dict)
     max_body_bytes: int = 262_144
+    services: frozenset[str] = frozenset()
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue of a host whose prefix matches the longest part of a path.
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/specs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/specs.py
@@ -111,6 +111,12 @@
 MAX_AMOUNT = 1 << 40
 """Upper bound on the amount of a resource; larger values are rejected as invalid."""
 
+MAX_NUMBER = 1 << 53
+"""Upper bound on other numbers; larger ones can't be represented exactly everywhere."""
+
+MAX_DURATION_S = 1e9
+"""Upper bound on a declared duration, in seconds."""
+
 
 @dataclass(frozen=True, slots=True)
 class _Check:
@@ -127,8 +133,13 @@
             self.problems.append("a job needs at least one step")
         if sum(max(0, step.count) for step in spec.steps) > MAX_TASKS:
             self.problems.append(f"a job has at most {MAX_TASKS} tasks")
-        if min(spec.occurrences, spec.period_ms, spec.first_due_ms) < 0:
+        times = (spec.occurrences, spec.period_ms, spec.first_due_ms)
+        if min(times) < 0:
             self.problems.append("occurrences, period and due time can't be negative")
+        if max(times) > MAX_NUMBER:
+            self.problems.append(
+                f"occurrences, period and due time are at most {MAX_NUMBER}"
+            )
         for number, step in enumerate(spec.steps):
             self._check_step(number, step)
 
@@ -141,8 +152,12 @@
             self.problems.append(f"step {number} has an invalid resource amount")
         if any(not 0 <= earlier < number for earlier in step.after):
             self.problems.append(f"step {number} depends on a step that isn't earlier")
-        if step.estimate_s < 0 or step.most_per_worker < 0 or step.may_miss < 0:
+        limits = (step.most_per_worker, step.may_miss)
+        durations = (step.estimate_s, step.target_s)
+        if min(*limits, *durations) < 0:
             self.problems.append(f"step {number} has a negative estimate or limit")
+        if max(limits) > MAX_NUMBER or max(durations) > MAX_DURATION_S:
+            self.problems.append(f"step {number} has too large an estimate or limit")
 
 
 def check_job(spec: JobSpec) -> None:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/state.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/state.py
@@ -17,6 +17,8 @@
 from .speed import WorkerSpeeds
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from ..model.resources import Resources
     from .effects import Effect
     from .jobs import Job, Occurrence, StepRun, Task
@@ -57,6 +59,9 @@
         self.queue_by_name: dict[str, Queue] = {}
         """Queues of this and earlier configurations: jobs may outlive their queue."""
         self.stored_queue_by_name: dict[str, Queue] = {}
+        self.services: set[str] = set()
+        """Pools of this and earlier configurations; entries of others name no worker
+        to use."""
         self.zones_out: frozenset[str] = frozenset()
         self.job_by_id: dict[str, Job] = {}
         self.worker_by_id: dict[str, Worker] = {}
@@ -201,6 +206,11 @@
 
     # Tasks and jobs
 
+    def add_queues(self, queues: Mapping[str, Queue]) -> None:
+        """Add or replace queues, by name."""
+        self.queue_by_name.update(queues)
+        self.services.update(queue.service for queue in queues.values())
+
     def store_queue(self, name: str) -> None:
         """Add the queue of an accepted job to the batch, unless it is up to date."""
         queue = self.queue_by_name.get(name)
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/messages.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/messages.py
@@ -174,5 +174,5 @@
     data = await reader.readexactly(length)
     try:
         return _decoder.decode(data)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise FrameError(str(error)) from error
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/advice_client.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/advice_client.py
@@ -44,7 +44,7 @@
                 f"status {response.status}", is_outcome_unknown=False
             )
         try:
-            return tuple(decode_advice(response.body).good)
+            return decode_advice(response.body).to_tickets()
         except InvalidDataError as error:
             raise UnavailableError(str(error), is_outcome_unknown=False) from error
 
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/client_calls.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/client_calls.py
@@ -24,6 +24,13 @@
 callers' specifications."""
 
 
+MAX_TIME_BUDGET_S = 3_600.0
+"""Larger time budgets count as this one, in seconds."""
+
+MAX_TIME_BUDGET_DIGITS = 15
+"""Digits beyond which a time budget is too large to be parsed."""
+
+
 class Action(Enum):
     """Operation that a call requests."""
 
@@ -103,8 +110,11 @@
 
 def _read_time_budget(request: Request) -> float:
     text = request.headers.get(TIME_BUDGET_HEADER, "")
-    is_number = text.isascii() and text.isdigit()
-    return int(text) / 1000 if is_number else DEFAULT_TIME_BUDGET_S
+    if not (text.isascii() and text.isdigit()):
+        return DEFAULT_TIME_BUDGET_S
+    if len(text) > MAX_TIME_BUDGET_DIGITS:
+        return MAX_TIME_BUDGET_S
+    return min(int(text) / 1000, MAX_TIME_BUDGET_S)
 
 
 def build_response(
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/log_store.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/log_store.py
@@ -34,6 +34,9 @@
 LONG_POLL_MARGIN_S = 0.6
 """Seconds that the timeout of a long-poll read exceeds its wait time."""
 
+UNKNOWN_OUTCOME_STATUSES = frozenset({500, 502, 504})
+"""Statuses with which a call may have been carried out; with others it was not."""
+
 MAX_KEY_BYTES = 255
 
 
@@ -91,7 +94,7 @@
 
 
 class _NewestBody(msgspec.Struct):
-    items: list[_NewestItem]
+    items: list[msgspec.Raw]
     end: int
     hasMore: bool = False  # noqa: N815
 
@@ -173,11 +176,12 @@
             _require_ok(response)
             page = _decode_body(response, _NewestBody)
             end = page.end if end is None else end
-            for item in page.items:
-                value_by_key[item.key] = base64.b64decode(item.value)
-            if not page.hasMore or not page.items:
+            items = [_decode_item(raw) for raw in page.items]
+            values = {key: value for key, value in items if value is not None}
+            value_by_key.update(values)
+            if not page.hasMore or not items:
                 return NewestRecords(value_by_key, end)
-            query["after"] = page.items[-1].key
+            query["after"] = items[-1][0]
 
     async def _call(
         self,
@@ -234,13 +238,31 @@
 def _require_ok(response: Response) -> None:
     if response.status != 200:
         message = f"status {response.status}: {response.body[:100]!r}"
-        raise UnavailableError(message, is_outcome_unknown=False)
+        raise UnavailableError(message, response.status in UNKNOWN_OUTCOME_STATUSES)
+
+
+def _decode_item(raw: msgspec.Raw) -> tuple[str, bytes | None]:
+    """Return key and value of a row of the newest records.
+
+    The value is None if it can't be read.
+
+    :raises UnavailableError: if the key can't be read either, without which there is no
+        next page
+    """
+    try:
+        item = msgspec.json.decode(raw, type=_NewestItem)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise UnavailableError(f"unreadable record: {error}", False) from error
+    try:
+        return item.key, base64.b64decode(item.value, validate=True)
+    except ValueError:
+        return item.key, None
 
 
 def _decode_body(response: Response, kind: type[_Body]) -> _Body:
     try:
         return msgspec.json.decode(response.body, type=kind)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise UnavailableError(
             f"unreadable response: {error}", is_outcome_unknown=True
         ) from error
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/schemas.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/schemas.py
@@ -7,21 +7,50 @@
 
 import ipaddress
 import math
-from typing import Any, Literal, TypeVar
+from typing import TYPE_CHECKING, Annotated, Any, Literal, TypeVar
 
 import msgspec
 from jacinthloom_core.model.resources import Resources
 from jacinthloom_core.planner.events import EndKind, RunEnd, RunProgress
 from jacinthloom_core.planner.fleet import WorkerEntry
 from jacinthloom_core.planner.rules import AdvicePolicy, ClientAccount, Queue, Rules
-from jacinthloom_core.planner.specs import JobSpec, StepId, StepSpec, TaskId
+from jacinthloom_core.planner.specs import (
+    MAX_AMOUNT,
+    MAX_NUMBER,
+    JobSpec,
+    StepId,
+    StepSpec,
+    TaskId,
+)
 from jacinthloom_wire.addresses import AddressError, split_address
 
 from .errors import InvalidDataError
 
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+
+Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+"""A count or a time in milliseconds."""
+
+Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+"""An amount of a resource."""
+
+
+class CapacityBody(msgspec.Struct):
+    """Capacity of a worker."""
+
+    cpu: Amount = 0
+    memMb: Amount = 0  # noqa: N815
+    gpu: Amount = 0
+
+    def to_resources(self) -> Resources:
+        """Return whole amounts, each rounded down."""
+        return Resources(int(self.cpu), int(self.memMb), int(self.gpu))
+
 
 class ResourcesBody(msgspec.Struct):
-    """Resources of a worker, a task or a limit."""
+    """Resources of a task or a limit."""
 
     cpu: float = 0
     memMb: float = 0  # noqa: N815
@@ -147,11 +176,18 @@
     maxBodyBytes: int = 262_144  # noqa: N815
 
 
+class ServiceBody(msgspec.Struct):
+    """A pool of workers."""
+
+    name: str
+
+
 class ConfigurationBody(msgspec.Struct):
     """The operators' configuration."""
 
     version: int
     routes: list[RouteBody] = []
+    services: list[ServiceBody] = []
     tenants: list[TenantBody] = []
     limits: LimitsBody = msgspec.field(default_factory=LimitsBody)
 
@@ -170,6 +206,7 @@
                 key: tenant.name for tenant in self.tenants for key in tenant.apiKeys
             },
             max_body_bytes=self.limits.maxBodyBytes,
+            services=frozenset(service.name for service in self.services),
         )
 
 
@@ -180,9 +217,9 @@
     address: str
     zone: str
     state: Literal["ready", "draining"]
-    capacity: ResourcesBody
+    capacity: CapacityBody
     labels: list[str] = []  # the kind first, then the rack
-    born: int = 0
+    born: Number = 0
     remainingMs: float | None = None  # noqa: N815
 
     def to_entry(self, worker: str) -> WorkerEntry:
@@ -230,36 +267,77 @@
 class HoldResponseBody(msgspec.Struct):
     """A worker's response to a hold request."""
 
-    clockMs: int  # noqa: N815
-    running: list[list[Any]] = []
-    endedRuns: list[list[Any]] = []  # noqa: N815
-    born: int = 1
+    clockMs: Number  # noqa: N815
+    running: list[Any] = []
+    endedRuns: list[Any] = []  # noqa: N815
+    born: Number = 1
 
     def to_running(self) -> tuple[RunProgress, ...]:
-        """Return the running tasks."""
-        rows = []
-        for name, run, checkpoint, percent, *rest in self.running:
-            measurement = float(rest[0]) if rest else 0.0
-            rows.append(
-                RunProgress(
-                    parse_task(name), run, checkpoint, int(percent), measurement
-                )
-            )
-        return tuple(rows)
+        """Return the running tasks; rows that can't be read are left out."""
+        return tuple(_parse_rows(self.running, _parse_progress))
 
     def to_ends(self) -> tuple[RunEnd, ...]:
-        """Return the ended runs, ordered by number."""
-        rows = [
-            RunEnd(number, parse_task(name), run, EndKind(kind), checkpoint)
-            for number, name, run, kind, checkpoint, *_ in self.endedRuns
-        ]
+        """Return the ended runs by number; rows that can't be read are left out."""
+        rows = _parse_rows(self.endedRuns, _parse_end)
         return tuple(sorted(rows, key=lambda row: row.number))
 
 
+_Row = TypeVar("_Row")
+
+
+def _parse_rows(rows: list[Any], parse: Callable[[Any], _Row]) -> Iterator[_Row]:
+    for row in rows:
+        try:
+            yield parse(row)
+        except (InvalidDataError, ValueError, TypeError, OverflowError):
+            continue
+
+
+def _parse_progress(row: Any) -> RunProgress:
+    name, run, checkpoint, percent, *rest = row
+    measurement = float(rest[0]) if rest else 0.0
+    task = parse_task(name)
+    _check_run(run, checkpoint)
+    return RunProgress(task, run, checkpoint, int(percent), measurement)
+
+
+def _parse_end(row: Any) -> RunEnd:
+    number, name, run, kind, checkpoint, *_ = row
+    task = parse_task(name)
+    _check_run(run, checkpoint)
+    _check_run(number, "")
+    return RunEnd(
+        number, task, run, _END_KIND_BY_NAME.get(kind, EndKind.OTHER), checkpoint
+    )
+
+
+def _check_run(number: Any, checkpoint: Any) -> None:
+    """Check the number of a run or an end, and a checkpoint.
+
+    :raises InvalidDataError: if one of them has another type, or is out of range
+    """
+    is_number = isinstance(number, int) and 0 <= number <= MAX_NUMBER
+    if not is_number or not isinstance(checkpoint, str):
+        raise InvalidDataError("a row of a list has fields of another type")
+
+
+_END_KIND_BY_NAME = {kind.value: kind for kind in EndKind}
+"""Kind of end by the name that workers use."""
+
+
 class AdviceResponseBody(msgspec.Struct):
     """Response of the advice service."""
 
-    good: list[tuple[str, str]]
+    good: list[Any]
+
+    def to_tickets(self) -> tuple[tuple[str, str], ...]:
+        """Return worker and ticket of each row; others are left out."""
+        rows = (tuple(row[:2]) for row in self.good if isinstance(row, list))
+        return tuple(
+            (row[0], row[1])
+            for row in rows
+            if len(row) == 2 and all(isinstance(field, str) for field in row)
+        )
 
 
 def format_task(task: TaskId) -> str:
@@ -353,5 +431,5 @@
 def _decode(body: bytes, body_type: type[_Body]) -> _Body:
     try:
         return msgspec.json.decode(body, type=body_type)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise InvalidDataError(str(error)) from error
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/worker_client.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/worker_client.py
@@ -60,7 +60,8 @@
 
     :param incarnation: start time of the worker's incarnation, in Unix milliseconds
     :param clock_ms: the worker's clock when it responded, in milliseconds
-    :param is_complete: whether the lists are whole; false if they may have been cut off
+    :param is_complete: whether the lists are whole; false if they may have been cut
+        off, or have rows that can't be read
     """
 
     incarnation: int
@@ -101,12 +102,16 @@
             )
         try:
             decoded = decode_hold(response.body)
-            running, ends = decoded.to_running(), decoded.to_ends()
-        except (InvalidDataError, ValueError, TypeError) as error:
+        except InvalidDataError as error:
             raise UnavailableError(
                 f"unreadable response to a hold: {error}", True
             ) from error
-        is_complete = len(decoded.endedRuns) < MAX_LISTED_ENDS
+        running, ends = decoded.to_running(), decoded.to_ends()
+        is_complete = (
+            len(decoded.endedRuns) < MAX_LISTED_ENDS
+            and len(ends) == len(decoded.endedRuns)
+            and len(running) == len(decoded.running)
+        )
         return HoldResponse(decoded.born, decoded.clockMs, running, ends, is_complete)
 
     async def start(self, start: Start) -> StartOutcome:
--- a/packages/jacinthloom-wire/src/jacinthloom_wire/http_server.py
+++ b/packages/jacinthloom-wire/src/jacinthloom_wire/http_server.py
@@ -217,7 +217,12 @@
             raise _BadRequestError(
                 408, "slow_client", "the request was not received in time"
             ) from error
-        return _build_request(head, body, writer)
+        try:
+            return _build_request(head, body, writer)
+        except ValueError as error:
+            raise _BadRequestError(
+                400, "malformed_request", f"the request can't be read: {error}"
+            ) from error
 
     async def _read_body(
         self,
--- a/tests/platform_adapter/test_client_calls.py
+++ b/tests/platform_adapter/test_client_calls.py
@@ -8,6 +8,7 @@
 from jacinthloom_core.planner.rules import ClientAccount, Queue, Rules
 from jacinthloom_daemon.platform.client_calls import (
     DEFAULT_TIME_BUDGET_S,
+    MAX_TIME_BUDGET_S,
     TIME_BUDGET_HEADER,
     parse_call,
 )
@@ -29,6 +30,10 @@
     def test_budget_is_read_in_milliseconds(self) -> None:
         self.assertEqual(self.read_budget("1500"), 1.5)
 
+    def test_budget_of_any_length_is_read(self) -> None:
+        for text in ("9" * 12, "9" * 400, "9" * 5_000):
+            self.assertEqual(self.read_budget(text), MAX_TIME_BUDGET_S)
+
     def test_text_that_is_no_number_gives_the_default(self) -> None:
         for text in ("", "x", "-1", "1.5", "\u00b2", "\u0661"):
             self.assertEqual(self.read_budget(text), DEFAULT_TIME_BUDGET_S, text)
--- a/tests/test_hosted_processes.py
+++ b/tests/test_hosted_processes.py
@@ -8,6 +8,7 @@
 import unittest
 
 from testkit.hosted.deployment import SERVICE, Deployment
+from testkit.hosted.worker import WorkerStandIn
 
 STEPS = [
     {"count": 3, "cpu": 500, "memMb": 100, "estRuntimeMs": 300},
@@ -136,6 +137,37 @@
         self.assertEqual(events.count("worker_entry_ignored"), 6)
         self.assertNotIn("planner_failed", events)
 
+    # Guards against entries of another writer that stop every planner, or keep it from
+    # following the list of workers.
+    async def test_odd_entries_among_the_workers_are_ignored(self) -> None:
+        store, worker = self.deployment.store, self.deployment.workers[0]
+        valid = worker.describe(SERVICE)
+        nested = valid[:-1] + b',"x":' + b"[" * 60_000 + b"]" * 60_000 + b"}"
+        born = str(json.loads(valid)["born"]).encode()
+        for number, odd in enumerate(
+            (
+                nested,
+                valid.replace(born, b"1" + b"0" * 30),
+                valid.replace(b"8000", b"1e308"),
+                valid.replace(b"8000", b"-1e400"),
+                b"\xff\xfe",
+                b"[" * 60_000,
+                b"null",
+            )
+        ):
+            await store.put("keyed.servers", f"odd-{number}", odd)
+        new = WorkerStandIn("i-new")
+        await new.start()
+        self.deployment.workers.append(new)
+        await store.put("keyed.servers", new.id, new.describe(SERVICE))
+        job = "00000000000000b2"
+        self.assertEqual(await self.submit(self.other, job), 200)
+        await self.wait_for(self.other, job, "completed")
+        events = self.deployment.read_log(self.planner)
+        self.assertNotIn("planner_failed", [line["event"] for line in events])
+        listed = [line["worker"] for line in events if line["event"] == "worker_listed"]
+        self.assertIn(new.id, listed)
+
     async def test_configuration_survives_truncation_of_the_log(self) -> None:
         for topic in ("keyed.op", "keyed.servers", "planner"):
             await self.deployment.store.truncate(topic)
--- a/tests/test_planner_runner.py
+++ b/tests/test_planner_runner.py
@@ -11,6 +11,7 @@
 from jacinthloom_core.planner import effects, events
 from jacinthloom_core.planner.fleet import WorkerEntry
 from jacinthloom_core.planner.records import Record
+from jacinthloom_core.planner.rules import Queue, Rules
 from jacinthloom_core.planner.specs import TaskId
 from jacinthloom_core.planner.state import PlannerSettings
 from jacinthloom_daemon.hosted.planner_runner import PlannerRunner
@@ -57,6 +58,8 @@
             Counter(),
         )
         self.state = self.runner._planner.state
+        queue = Queue("q", "h", "/q/", "pool")
+        self.runner.handle(events.RulesChanged(0.0, Rules(1, {"q": queue})))
         self.addCleanup(self.runner.close)
 
     async def wait_for_failures(self, count: int) -> None:
