--- a/packages/jacinthloom-wire/src/jacinthloom_wire/http_client.py
+++ b/packages/jacinthloom-wire/src/jacinthloom_wire/http_client.py
@@ -80,13 +80,20 @@
 
     :param address: ``host:port``, optionally followed by a path prefix
     :param max_idle: maximum number of idle connections kept open
+    :param host_name: value of the Host header, if it is not the address
     :raises AddressError: if the address is malformed
     """
 
-    def __init__(self, address: str, max_idle: int = MAX_IDLE_CONNECTIONS) -> None:
+    def __init__(
+        self,
+        address: str,
+        max_idle: int = MAX_IDLE_CONNECTIONS,
+        host_name: str = "",
+    ) -> None:
         self._max_idle = max_idle
         authority, slash, prefix = address.partition("/")
         self._host, self._port = split_address(authority)
+        self._host_name = host_name or f"{self._host}:{self._port}"
         self._path_prefix = slash + prefix
         self._idle: list[_Connection] = []
 
@@ -162,7 +169,7 @@
             method=method,
             target=self._path_prefix + path,
             headers=[
-                ("Host", f"{self._host}:{self._port}"),
+                ("Host", self._host_name),
                 ("Content-Length", str(len(body))),
                 *headers,
             ],
--- a/testkit/hosted/deployment.py
+++ b/testkit/hosted/deployment.py
@@ -17,6 +17,7 @@
 
 from ..loopback import reserve_loopback_ip
 from .log_store import LogStoreStandIn
+from .proxy import LinkProxy
 from .worker import WorkerStandIn
 
 SERVICE = "pool"
@@ -34,7 +35,7 @@
 
 SETTINGS = """\
 node={name}
-zone=z
+zone={zone}
 ip={ip}
 listen.front={ip}:{front}
 listen.ready={ip}:{ready}
@@ -65,11 +66,28 @@
 
 
 class Deployment:
-    """Start, call, kill and stop entry processes, each at its own loopback address."""
-
-    def __init__(self, processes: int = 2, workers: int = 2) -> None:
+    """Start, call, kill and stop entry processes, each at its own loopback address.
+
+    :param has_proxies: whether each process reaches the store, and all processes reach
+        each worker, through a proxy
+    :ivar packages: folder of the packages that the processes run; empty for those that
+        are installed
+    """
+
+    def __init__(
+        self,
+        processes: int = 2,
+        workers: int | list[WorkerStandIn] = 2,
+        has_proxies: bool = False,
+    ) -> None:
         self.store = LogStoreStandIn()
-        self.workers = [WorkerStandIn(f"i-{number}") for number in range(workers)]
+        if isinstance(workers, int):
+            workers = [WorkerStandIn(f"i-{number}") for number in range(workers)]
+        self.workers = workers
+        self.packages = ""
+        self._has_proxies = has_proxies
+        self.store_proxy_by_ip: dict[str, LinkProxy] = {}
+        self.proxy_by_worker: dict[str, LinkProxy] = {}
         self._folder = tempfile.TemporaryDirectory()
         self._ips = [reserve_loopback_ip() for _ in range(processes)]
         self.process_by_ip: dict[str, subprocess.Popen[bytes]] = {}
@@ -78,19 +96,24 @@
     async def start(self) -> None:
         """Start everything and wait until each process is ready."""
         store = await self.store.start()
-        configuration = json.dumps(make_configuration(self._ips)).encode()
+        configuration = json.dumps(self.make_configuration()).encode()
         await self.store.put("keyed.op", "config", configuration)
         for worker in self.workers:
-            await worker.start()
-            await self.store.put("keyed.servers", worker.id, worker.describe(SERVICE))
+            await self.add_worker(worker)
         for number, ip in enumerate(self._ips):
+            if self._has_proxies:
+                proxy = self.store_proxy_by_ip[ip] = LinkProxy(store)
+                address = await proxy.start()
+            else:
+                address = store
             text = SETTINGS.format(
                 name=f"e{number}",
+                zone=self.workers[number % len(self.workers)].zone,
                 ip=ip,
                 front=FRONT_PORT,
                 ready=READY_PORT,
                 peer=PEER_PORT,
-                store=store,
+                store=address,
             )
             path = Path(self._folder.name) / f"{ip}.conf"
             path.write_text(text)
@@ -99,6 +122,22 @@
         for ip in self._ips:
             await self._wait_until_ready(f"{ip}:{READY_PORT}")
 
+    def make_configuration(self) -> dict[str, object]:
+        """Return the first configuration."""
+        return make_configuration(self._ips)
+
+    async def add_worker(self, worker: WorkerStandIn) -> None:
+        """Start a worker and list it."""
+        await worker.start()
+        if self._has_proxies:
+            proxy = self.proxy_by_worker[worker.id] = LinkProxy(worker.address)
+            worker.listed_address = await proxy.start()
+        await self.list_worker(worker)
+
+    async def list_worker(self, worker: WorkerStandIn) -> None:
+        """Write the entry of a worker, as it does itself."""
+        await self.store.put("keyed.servers", worker.id, worker.describe(SERVICE))
+
     def start_process(self, ip: str) -> None:
         """Start an entry process."""
         log = Path(self._folder.name) / f"{ip}.log"
@@ -106,7 +145,8 @@
             self.process_by_ip[ip] = subprocess.Popen(
                 [sys.executable, "-m", "jacinthloom_daemon.hosted"],
                 env=os.environ
-                | {"JACINTHLOOM_NODE_FILE": str(self._settings_by_ip[ip])},
+                | {"JACINTHLOOM_NODE_FILE": str(self._settings_by_ip[ip])}
+                | ({"PYTHONPATH": self.packages} if self.packages else {}),
                 stdout=output,
                 stderr=output,
             )
@@ -123,6 +163,11 @@
                     pass
                 await asyncio.sleep(POLL_INTERVAL_S)
 
+    @property
+    def log_folder(self) -> Path:
+        """Folder with the logs of the processes."""
+        return Path(self._folder.name)
+
     def read_log(self, ip: str) -> list[dict[str, Any]]:
         """Return the log lines of the process at an address."""
         lines = (Path(self._folder.name) / f"{ip}.log").read_text().splitlines()
@@ -170,7 +215,9 @@
         for process in self.process_by_ip.values():
             if process.poll() is None:
                 process.kill()
-                process.wait()
+                await asyncio.to_thread(process.wait)
+        for proxy in (*self.store_proxy_by_ip.values(), *self.proxy_by_worker.values()):
+            await proxy.close()
         for worker in self.workers:
             await worker.close()
         await self.store.close()
--- a/testkit/hosted/log_store.py
+++ b/testkit/hosted/log_store.py
@@ -12,6 +12,9 @@
 PAGE_SIZE = 500
 """Largest number of records in a page of ``/log-newest``."""
 
+REMEMBERED_APPENDS = 5
+"""Appends of a producer whose repeats are recognised."""
+
 
 @dataclass(slots=True)
 class _Topic:
@@ -31,6 +34,7 @@
     """Serve append, read and newest, with epochs, sequence numbers and conditions.
 
     :ivar is_down: whether to respond 503 to every request
+    :ivar latency_s: seconds that every response takes
     :ivar responses_to_drop: number of appends to carry out while closing the
         connection instead of responding
     :ivar appends: number of append requests received
@@ -41,6 +45,7 @@
         self._changed = asyncio.Condition()
         self._server = HttpServer(self._handle)
         self.is_down = False
+        self.latency_s = 0.0
         self.responses_to_drop = 0
         self.appends = 0
 
@@ -88,6 +93,8 @@
         return offset
 
     async def _handle(self, request: Request) -> ServerResponse:
+        if self.latency_s:
+            await asyncio.sleep(self.latency_s)
         if self.is_down:
             return ServerResponse.from_json(503, {"error": "down"})
         if request.path == "/log-append":
@@ -109,7 +116,10 @@
                 return refusal
         offset = await self._append(request.query["topic"], split_records(request.body))
         if "seq" in request.query:
-            topic.offset_by_sequence[int(request.query["seq"])] = offset
+            remembered = topic.offset_by_sequence
+            remembered[int(request.query["seq"])] = offset
+            for sequence in sorted(remembered)[:-REMEMBERED_APPENDS]:
+                del remembered[sequence]
         if self.responses_to_drop:
             self.responses_to_drop -= 1
             raise ConnectionResetError
--- a/testkit/hosted/worker.py
+++ b/testkit/hosted/worker.py
@@ -1,122 +1,259 @@
-"""A stand-in for a worker of the platform: fencing, runs, ended runs and cursors."""
+"""A stand-in for a worker of the platform: fencing, leases, runs and ended runs."""
 
 from __future__ import annotations
 
 import asyncio
 import json
 import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
 from typing import Any
 
 from jacinthloom_wire.http_server import HttpServer, Request, ServerResponse
 
 RUN_S = 0.3
-"""Duration of each run, in seconds."""
+"""Default duration of each run, in seconds."""
+
+MAX_LISTED_ENDS = 500
+"""Ended runs that are listed at a time."""
+
+MAX_LEASE_MS = 10_000
+"""Longest lease, in milliseconds."""
+
+STOP_S = 0.05
+"""Seconds from a stop to the end of the run."""
+
+
+@dataclass(slots=True)
+class Run:
+    """One run of a task, as the worker has seen it.
+
+    Times are monotonic seconds; 0 if it has not come to that.
+
+    :param is_late: whether its order was carried out long after it was sent
+    :param kind: how it ended; empty while it runs
+    :param number: number of its end in this incarnation
+    :param noted_at: time at which a cursor reached its end
+    """
+
+    task: str
+    run: int
+    worker: WorkerStandIn
+    payload: str
+    began_at: float
+    is_late: bool = False
+    kind: str = ""
+    ended_at: float = 0.0
+    number: int = 0
+    noted_at: float = 0.0
+    timer: asyncio.TimerHandle | None = field(default=None, repr=False)
 
 
 class WorkerStandIn:
     """One worker, which accepts every valid start regardless of its capacity.
 
-    :ivar started: task and run number of every start that was carried out
+    :ivar runs: every run that was started, in all incarnations
+    :ivar lapsed_at: times at which its lease expired
+    :ivar orders_to_delay: number of starts and stops that are not answered, and carried
+        out after ``delay_s``
     """
 
-    def __init__(self, name: str, run_s: float = RUN_S) -> None:
+    def __init__(
+        self,
+        name: str,
+        run_s: float = RUN_S,
+        zone: str = "z",
+        labels: tuple[str, ...] = ("a", "r1-1"),
+        choose_run_s: Callable[[str], float] | None = None,
+    ) -> None:
         self.id = name
         self.run_s = run_s
-        self.started: list[tuple[str, int]] = []
-        self._born = int(time.time() * 1000)
+        self.zone = zone
+        self.state = "ready"
+        self.is_up = False
+        self._labels = labels
+        self._choose_run_s = choose_run_s or (lambda task: self.run_s)
+        self.runs: list[Run] = []
+        self.lapsed_at: list[float] = []
+        self.orders_to_delay = 0
+        self.delay_s = 2.0
+        self.address = ""
+        self.listed_address = ""
+        """Address in the worker's entry, if it is reached through another one."""
+        self._begin_incarnation()
+
+    def _begin_incarnation(self) -> None:
+        self.born = int(time.time() * 1000)
+        self._began_at = time.monotonic()
         self._token = 0
-        self._run_by_task: dict[str, int] = {}
-        self._began_at_by_task: dict[str, float] = {}
+        self._deadline_ms = 0
+        self._run_by_task: dict[str, Run] = {}
         self._highest_run_by_task: dict[str, int] = {}
-        self._ended_runs: list[list[Any]] = []
+        self._ends: list[Run] = []
         self._ended_count = 0
+        self._lapse_timer: asyncio.TimerHandle | None = None
         self._has_ended = asyncio.Event()
         self._server = HttpServer(self._handle)
-        self.address = ""
 
-    async def start(self) -> None:
+    @property
+    def started(self) -> list[tuple[str, int]]:
+        """Task and run number of every start that was carried out."""
+        return [(run.task, run.run) for run in self.runs]
+
+    async def start(self, address: str = "127.0.0.1:0") -> None:
         """Start listening."""
-        self.address = await self._server.start("127.0.0.1:0")
+        self.address = await self._server.start(address)
+        self.listed_address = self.listed_address or self.address
+        self.is_up = True
 
     async def close(self) -> None:
         """Stop listening."""
-        await self._server.close(0.1)
+        if self.is_up:
+            await self.crash()
+
+    async def crash(self) -> None:
+        """End this incarnation: whatever runs is lost, and calls are refused."""
+        self.is_up = False
+        for run in list(self._run_by_task.values()):
+            self._forget(run, "lost")
+        if self._lapse_timer is not None:
+            self._lapse_timer.cancel()
+        await self._server.close(0.0)
+
+    async def restart(self) -> None:
+        """Begin a new incarnation under the same id and address."""
+        self._begin_incarnation()
+        await self.start(self.address)
 
     def describe(self, service: str) -> bytes:
         """Return the worker's entry in the store."""
         entry = {
             "service": service,
-            "address": self.address,
-            "zone": "z",
-            "state": "ready",
+            "address": self.listed_address,
+            "zone": self.zone,
+            "state": self.state,
             "capacity": {"cpu": 8000, "memMb": 8000, "gpu": 0},
-            "labels": ["a", "r1-1"],
-            "born": self._born,
+            "labels": list(self._labels),
+            "born": self.born,
         }
         return json.dumps(entry).encode()
 
     @property
     def _clock_ms(self) -> int:
-        return int(time.time() * 1000) - self._born
+        return int((time.monotonic() - self._began_at) * 1000)
+
+    def _respond(self, status: int, **fields: object) -> ServerResponse:
+        head = {"clockMs": self._clock_ms, "born": self.born}
+        return ServerResponse.from_json(status, head | fields)
 
     async def _handle(self, request: Request) -> ServerResponse:
         body = json.loads(request.body)
         if request.headers.get("x-jacinthloom-expect-instance") != self.id:
-            return ServerResponse.from_json(421, {"clockMs": self._clock_ms})
+            return self._respond(421)
+        if request.path == "/hold":
+            return await self._on_hold(body)
+        execute = self._on_start if request.path == "/run-start" else self._on_stop
+        if self.orders_to_delay:
+            self.orders_to_delay -= 1
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.delay_s, self._execute_late, execute, body, self.born)
+            await asyncio.sleep(self.delay_s + 1)
+        return execute(body, False)
+
+    def _execute_late(
+        self,
+        execute: Callable[[dict[str, Any], bool], ServerResponse],
+        body: dict[str, Any],
+        incarnation: int,
+    ) -> None:
+        if self.is_up and self.born == incarnation:
+            execute(body, True)
+
+    def _is_fenced(self, body: dict[str, Any]) -> bool:
         if body["fencingToken"] < self._token:
-            return self._refuse("fence")
+            return True
         self._token = body["fencingToken"]
-        if request.path == "/run-start":
-            return self._on_start(body)
-        if request.path == "/run-stop":
-            return self._on_stop(body)
-        return await self._on_hold(body)
-
-    def _refuse(self, reason: str) -> ServerResponse:
-        return ServerResponse.from_json(
-            409, {"clockMs": self._clock_ms, "reason": reason}
-        )
-
-    def _on_start(self, body: dict[str, Any]) -> ServerResponse:
-        task, run = body["task"], body["run"]
-        if self._run_by_task.get(task) != run:
-            if task in self._run_by_task or run <= self._highest_run_by_task.get(
-                task, 0
-            ):
-                return self._refuse("old")
-            self._run_by_task[task] = self._highest_run_by_task[task] = run
-            self._began_at_by_task[task] = time.monotonic()
-            self.started.append((task, run))
+        return False
+
+    def _extend_lease(self, deadline_ms: int) -> None:
+        latest_ms = min(deadline_ms, self._clock_ms + MAX_LEASE_MS)
+        if latest_ms <= self._deadline_ms:
+            return
+        self._deadline_ms = latest_ms
+        if self._lapse_timer is not None:
+            self._lapse_timer.cancel()
+        delay_s = max(0.0, (latest_ms - self._clock_ms) / 1000)
+        loop = asyncio.get_running_loop()
+        self._lapse_timer = loop.call_later(delay_s, self._lapse)
+
+    def _lapse(self) -> None:
+        self.lapsed_at.append(time.monotonic())
+        for run in list(self._run_by_task.values()):
+            self._end(run, "lapsed")
+
+    def _on_start(self, body: dict[str, Any], is_late: bool) -> ServerResponse:
+        if self._is_fenced(body):
+            return self._respond(409, reason="fence")
+        task, number = body["task"], body["run"]
+        self._extend_lease(body["deadlineMs"])
+        present = self._run_by_task.get(task)
+        if present is not None and present.run == number:
+            return self._respond(200)
+        if present is not None or number <= self._highest_run_by_task.get(task, 0):
+            return self._respond(409, reason="old")
+        if body["deadlineMs"] <= self._clock_ms:
+            return self._respond(409, reason="late")
+        run = Run(task, number, self, body["spec"], time.monotonic(), is_late)
+        self._run_by_task[task] = run
+        self._highest_run_by_task[task] = number
+        self.runs.append(run)
+        loop = asyncio.get_running_loop()
+        run.timer = loop.call_later(self._choose_run_s(task), self._end, run, "done")
+        return self._respond(200)
+
+    def _on_stop(self, body: dict[str, Any], is_late: bool) -> ServerResponse:
+        if self._is_fenced(body):
+            return self._respond(409, reason="fence")
+        task, number = body["task"], body["run"]
+        run = self._run_by_task.get(task)
+        if run is not None and run.run == number:
+            if run.timer is not None:
+                run.timer.cancel()
             loop = asyncio.get_running_loop()
-            loop.call_later(self.run_s, self._end, task, run, "done")
-        return ServerResponse.from_json(200, {"clockMs": self._clock_ms})
-
-    def _on_stop(self, body: dict[str, Any]) -> ServerResponse:
-        task, run = body["task"], body["run"]
-        if self._run_by_task.get(task) == run:
-            self._end(task, run, "stopped")
-        self._highest_run_by_task[task] = max(
-            self._highest_run_by_task.get(task, 0), run
-        )
-        return ServerResponse.from_json(200, {"clockMs": self._clock_ms})
-
-    def _end(self, task: str, run: int, kind: str) -> None:
-        if self._run_by_task.get(task) != run:
+            run.timer = loop.call_later(STOP_S, self._end, run, "stopped")
+        highest = self._highest_run_by_task.get(task, 0)
+        self._highest_run_by_task[task] = max(highest, number)
+        return self._respond(200)
+
+    def _forget(self, run: Run, kind: str) -> None:
+        if run.timer is not None:
+            run.timer.cancel()
+        run.kind = kind
+        run.ended_at = time.monotonic()
+        del self._run_by_task[run.task]
+
+    def _end(self, run: Run, kind: str) -> None:
+        if run.kind:
             return
-        del self._run_by_task[task]
+        self._forget(run, kind)
         self._ended_count += 1
-        self._ended_runs.append([self._ended_count, task, run, kind, ""])
+        run.number = self._ended_count
+        self._ends.append(run)
         self._has_ended.set()
 
-    def _compute_percent(self, task: str) -> int:
-        worked_s = time.monotonic() - self._began_at_by_task[task]
-        return min(99, int(100 * worked_s / self.run_s))
+    def _compute_percent(self, run: Run) -> int:
+        worked_s = time.monotonic() - run.began_at
+        return min(99, int(100 * worked_s / max(0.01, self._choose_run_s(run.task))))
 
     async def _on_hold(self, body: dict[str, Any]) -> ServerResponse:
-        self._ended_runs = [
-            row for row in self._ended_runs if row[0] > body["ackCursor"]
-        ]
-        if not self._ended_runs and body.get("waitMs"):
+        if self._is_fenced(body):
+            return self._respond(409, reason="fence")
+        for run in self._ends:
+            if run.number <= body["ackCursor"]:
+                run.noted_at = time.monotonic()
+        self._ends = [run for run in self._ends if run.number > body["ackCursor"]]
+        self._extend_lease(body.get("deadlineMs", 0))
+        if not self._ends and body.get("waitMs"):
             self._has_ended.clear()
             try:
                 async with asyncio.timeout(body["waitMs"] / 1000):
@@ -124,13 +261,8 @@
             except TimeoutError:
                 pass
         running = [
-            [task, run, "", self._compute_percent(task)]
-            for task, run in self._run_by_task.items()
+            [run.task, run.run, "", self._compute_percent(run)]
+            for run in self._run_by_task.values()
         ]
-        lists = {
-            "clockMs": self._clock_ms,
-            "born": self._born,
-            "running": running,
-            "endedRuns": self._ended_runs,
-        }
-        return ServerResponse.from_json(200, lists)
+        ends = [[run.number, run.task, run.run, run.kind, ""] for run in self._ends]
+        return self._respond(200, running=running, endedRuns=ends[:MAX_LISTED_ENDS])
--- /dev/null
+++ b/testkit/soak/checks.py
@@ -0,0 +1,222 @@
+"""The users' rules, checked by what workers, clients and the operator have seen."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+from .observations import STORE
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ..hosted.worker import Run, WorkerStandIn
+    from .observations import Job, Observations, Probe, Version
+
+APPLY_S = 2.0
+"""Seconds from an acknowledgement until a configuration must be in force."""
+
+DOWNGRADE_SLACK_S = 0.25
+"""Seconds after a call was handled by a configuration for which others may still be
+handled by an older one."""
+
+EVACUATE_S = 5.0
+CANCEL_S = 3.0
+VISIBLE_S = 3.0
+EARLY_S = 0.25
+
+
+def find_violations(
+    observations: Observations, workers: Iterable[WorkerStandIn]
+) -> list[str]:
+    """Return a sentence for each violation, with the rule first."""
+    runs_by_task: dict[str, list[Run]] = defaultdict(list)
+    for worker in workers:
+        for run in worker.runs:
+            runs_by_task[run.task].append(run)
+    for runs in runs_by_task.values():
+        runs.sort(key=lambda run: run.began_at)
+    return [
+        *_check_runs(runs_by_task),
+        *_check_jobs(observations, runs_by_task),
+        *_check_places(observations, runs_by_task),
+        *_check_probes(observations),
+    ]
+
+
+def _describe(run: Run, began_at: float) -> str:
+    return (
+        f"{run.task} run {run.run} on {run.worker.id}"
+        f" from {run.began_at - began_at:.3f}"
+        f" to {run.ended_at - began_at:.3f} {run.kind or 'running'}"
+        f"{f', noted {run.noted_at - began_at:.3f}' if run.noted_at else ''}"
+        f"{', late' if run.is_late else ''}"
+    )
+
+
+def _check_runs(runs_by_task: dict[str, list[Run]]) -> list[str]:
+    """Check that no task runs twice at once, or again after its end was noted."""
+    violations = []
+    for runs in runs_by_task.values():
+        for number, earlier in enumerate(runs):
+            for later in runs[number + 1 :]:
+                overlaps = not earlier.ended_at or later.began_at < earlier.ended_at
+                has_lapsed = any(
+                    earlier.ended_at <= at <= earlier.noted_at
+                    for at in earlier.worker.lapsed_at
+                )
+                is_noted = earlier.kind == "done" and earlier.noted_at > 0
+                if overlaps or (is_noted and not has_lapsed):
+                    origin = runs[0].began_at
+                    violations.append(
+                        f"TWICE: {_describe(earlier, origin)};"
+                        f" {_describe(later, origin)}"
+                    )
+    return violations
+
+
+def _check_jobs(
+    observations: Observations, runs_by_task: dict[str, list[Run]]
+) -> list[str]:
+    violations = []
+    for task, runs in runs_by_task.items():
+        job = observations.job_by_id.get(task.partition(".")[0])
+        if job is None or runs[0].payload != job.body["spec"]:
+            violations.append(f"UNASKED: {task} was started")
+        elif job.is_refused:
+            violations.append(f"REFUSED: {task} was started")
+        else:
+            violations += _check_times(job, task, runs, runs_by_task)
+            violations += _check_cancel(observations, job, runs)
+    for job in observations.job_by_id.values():
+        violations += _check_states(job, runs_by_task)
+    return violations
+
+
+def _check_times(
+    job: Job, task: str, runs: list[Run], runs_by_task: dict[str, list[Run]]
+) -> list[str]:
+    """Check that a task starts after the steps that it depends on."""
+    _, occurrence, number, _ = task.split(".")
+    violations = []
+    for earlier in job.body["steps"][int(number)].get("after", ()):
+        for position in range(job.body["steps"][earlier]["count"]):
+            name = f"{job.id}.{occurrence}.{earlier}.{position}"
+            done = [run for run in runs_by_task.get(name, ()) if run.kind == "done"]
+            if not done or min(run.ended_at for run in done) > runs[0].began_at:
+                violations.append(f"ORDER: {task} starts before {name} is done")
+    return violations
+
+
+def _check_cancel(observations: Observations, job: Job, runs: list[Run]) -> list[str]:
+    return [
+        f"UNASKED: {run.task} starts {run.began_at - job.cancelled_at:.1f} s after its"
+        f" job was cancelled"
+        for run in runs
+        if job.cancelled_at
+        and not run.is_late
+        and run.began_at > job.cancelled_at + CANCEL_S
+        and observations.is_calm(None, run.began_at, run.began_at)
+    ]
+
+
+def _check_states(job: Job, runs_by_task: dict[str, list[Run]]) -> list[str]:
+    violations = []
+    for at, ip, state in job.states:
+        if state == "410" and job.accepted_at and at > job.accepted_at + VISIBLE_S:
+            violations.append(f"LOST: {job.id} is unknown at {ip}")
+        if state == "failed" or (state == "cancelled" and not job.cancel_sent_at):
+            violations.append(f"LOST: {job.id} is shown as {state}")
+        if state != "completed":
+            continue
+        for task in job.list_tasks():
+            runs = runs_by_task.get(task, ())
+            if not any(run.kind == "done" and run.ended_at <= at for run in runs):
+                violations.append(f"MIXED: {job.id} is completed, but {task} isn't")
+                break
+    if job.accepted_at and not job.cancel_sent_at and not _is_final(job):
+        last = job.states[-1][2] if job.states else "never asked for"
+        violations.append(f"LOST: {job.id} has not ended: {last}")
+    return violations
+
+
+def _is_final(job: Job) -> bool:
+    return any(state in ("completed", "failed") for _, _, state in job.states)
+
+
+def _check_places(
+    observations: Observations, runs_by_task: dict[str, list[Run]]
+) -> list[str]:
+    return [
+        f"EVAC: {run.task} starts in {run.worker.zone}"
+        f" {run.began_at - evacuation.acknowledged_at:.1f} s after its evacuation"
+        for evacuation in observations.evacuations
+        for runs in runs_by_task.values()
+        for run in runs
+        if run.worker.zone == evacuation.zone
+        and not run.is_late
+        and evacuation.acknowledged_at + EVACUATE_S < run.began_at
+        and run.began_at < evacuation.ended_at
+        and observations.is_calm(None, run.began_at, run.began_at)
+    ]
+
+
+def _check_probes(observations: Observations) -> list[str]:
+    """Check that processes handle calls by a configuration that may be in force."""
+    violations = []
+    newest_shown: dict[tuple[str, int], list[tuple[int, float]]] = defaultdict(list)
+    for probe in sorted(observations.probes, key=lambda probe: probe.sent_at):
+        if probe.status == 503 and _is_unserved(probe, observations):
+            violations.append(
+                f"CONFIG (not served): {_describe_probe(probe, observations, 0)}"
+            )
+        if probe.status not in (200, 401, 404):
+            continue
+        known = [v for v in observations.versions if v.sent_at <= probe.answered_at]
+        oldest = max(
+            (v.number for v in known if v.acknowledged_at + APPLY_S < probe.sent_at),
+            default=0,
+        )
+        since, until = probe.sent_at, probe.answered_at
+        is_calm = observations.is_calm({STORE, probe.ip}, since, until)
+        shown = newest_shown[(probe.ip, probe.incarnation)]
+        floor = max(
+            (n for n, at in shown if at + DOWNGRADE_SLACK_S < probe.sent_at), default=0
+        )
+        matching = [v for v in known if _answers(v, probe) == probe.status]
+        if is_calm and not any(v.number >= oldest for v in matching):
+            violations.append(f"CONFIG: {_describe_probe(probe, observations, oldest)}")
+        elif not any(v.number >= floor for v in matching):
+            violations.append(
+                f"CONFIG (older again): {_describe_probe(probe, observations, floor)}"
+            )
+        possible = [v.number for v in matching if v.number >= floor]
+        if possible:
+            shown.append((min(possible), probe.answered_at))
+    return violations
+
+
+def _is_unserved(probe: Probe, observations: Observations) -> bool:
+    """Whether a call was refused though its route holds and nothing is disturbed."""
+    since, until = probe.sent_at - APPLY_S, probe.answered_at
+    held = [v for v in observations.versions if v.sent_at <= until]
+    recent = [v for v in held if v.acknowledged_at >= since]
+    newest_before = [v for v in held if v.acknowledged_at < since][-1:]
+    return observations.is_calm(None, since, until) and all(
+        _answers(version, probe) == 200 for version in newest_before + recent
+    )
+
+
+def _answers(version: Version, probe: Probe) -> int:
+    """Return the status that a version gives a probe."""
+    if probe.route not in version.routes:
+        return 404
+    return 200 if probe.key in version.keys else 401
+
+
+def _describe_probe(probe: Probe, observations: Observations, least: int) -> str:
+    at = probe.sent_at - observations.began_at
+    return (
+        f"{probe.ip} ({probe.incarnation}) answers {probe.status} to route"
+        f" {probe.route} with key {probe.key} at {at:.3f}, though version {least} holds"
+    )
--- /dev/null
+++ b/testkit/soak/deployment.py
@@ -0,0 +1,130 @@
+"""The deployment of a soak: entry processes and workers, each behind a proxy."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import time
+import zlib
+from typing import TYPE_CHECKING
+
+from ..hosted.deployment import KEY, PREFIX, SERVICE, Deployment
+from ..hosted.worker import WorkerStandIn
+
+if TYPE_CHECKING:
+    from .observations import Observations
+
+ZONES = ("z1", "z2", "z3")
+HOST = "desk.example"
+SHORTEST_RUN_S = 0.2
+LONGEST_RUN_S = 2.5
+
+STARTED_S = 1.0
+"""Seconds for which a process that was started counts as disturbed, beside the time in
+which processes get in touch."""
+
+
+def choose_run_s(task: str) -> float:
+    """Return how long the runs of a task take, by its name."""
+    share = zlib.crc32(task.encode()) % 1000 / 1000
+    return SHORTEST_RUN_S + share**3 * (LONGEST_RUN_S - SHORTEST_RUN_S)
+
+
+def make_route(name: str, prefix: str) -> dict[str, object]:
+    """Return a queue of the configuration."""
+    return {
+        "name": name,
+        "host": HOST,
+        "pathPrefix": prefix,
+        "service": SERVICE,
+        "priority": 0,
+        "maxAttempts": 2,
+        "stretch": 1.5,
+        "targetLatencyMs": 250,
+    }
+
+
+def make_configuration(
+    version: int, routes: frozenset[int], keys: frozenset[int]
+) -> dict[str, object]:
+    """Return a configuration with the base queue and key, and optional ones."""
+    optional = [make_route(f"route-{n}", f"/route-{n}/") for n in sorted(routes)]
+    api_keys = [KEY, *(f"key-{n}" for n in sorted(keys))]
+    return {
+        "version": version,
+        "routes": [make_route("checks", PREFIX), *optional],
+        "services": [{"name": SERVICE}],
+        "tenants": [{"name": "team", "apiKeys": api_keys, "weight": 50}],
+    }
+
+
+class SoakDeployment(Deployment):
+    """Entry processes that may be paused, killed and restarted, and workers in zones.
+
+    :ivar incarnation_by_ip: number of starts of the process at each address
+    """
+
+    def __init__(
+        self, processes: int, workers: int, observations: Observations
+    ) -> None:
+        stand_ins = [
+            WorkerStandIn(
+                f"i-{number:04}",
+                zone=ZONES[number % len(ZONES)],
+                labels=("a", f"r{number % len(ZONES)}-{number // 24}"),
+                choose_run_s=choose_run_s,
+            )
+            for number in range(workers)
+        ]
+        super().__init__(processes, stand_ins, has_proxies=True)
+        self._observations = observations
+        self.incarnation_by_ip: dict[str, int] = {}
+
+    def make_configuration(self) -> dict[str, object]:
+        """Return the first configuration."""
+        return make_configuration(1, frozenset(), frozenset())
+
+    @property
+    def ips(self) -> list[str]:
+        """Addresses of all processes, whether they run or not."""
+        return list(self.store_proxy_by_ip)
+
+    def start_process(self, ip: str) -> None:
+        """Start an entry process."""
+        self.incarnation_by_ip[ip] = self.incarnation_by_ip.get(ip, 0) + 1
+        self._observations.disturb(ip, STARTED_S)
+        super().start_process(ip)
+
+    def is_running(self, ip: str) -> bool:
+        """Whether the process at an address has not ended."""
+        return self.process_by_ip[ip].poll() is None
+
+    async def pause(self, ip: str, duration_s: float) -> None:
+        """Suspend a process for a while."""
+        process = self.process_by_ip[ip]
+        self._observations.disturb(ip, duration_s)
+        if process.poll() is None:
+            process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(duration_s)
+            process.send_signal(signal.SIGCONT)
+
+    async def restart(self, ip: str, down_s: float, number: signal.Signals) -> None:
+        """End a process by a signal, and start it again after a while."""
+        process = self.process_by_ip[ip]
+        if process.poll() is None:
+            process.send_signal(number)
+        began_at = time.monotonic()
+        await asyncio.to_thread(process.wait)
+        self._observations.disturbances.append((ip, began_at, time.monotonic()))
+        self._observations.disturb(ip, down_s)
+        await asyncio.sleep(down_s)
+        if self.process_by_ip[ip] is process:
+            self.start_process(ip)
+
+    async def write_configuration(
+        self, version: int, routes: frozenset[int], keys: frozenset[int]
+    ) -> None:
+        """Write a new version of the configuration, as the operator does."""
+        body = json.dumps(make_configuration(version, routes, keys)).encode()
+        await self.store.put("keyed.op", "config", body)
--- /dev/null
+++ b/testkit/soak/faults.py
@@ -0,0 +1,313 @@
+"""Series of faults, drawn from a seed, which overlap."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+import time
+from typing import TYPE_CHECKING
+
+from .observations import STORE, Evacuation
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Iterator
+    from random import Random
+
+    from ..hosted.worker import WorkerStandIn
+    from .deployment import SoakDeployment
+    from .observations import Observations
+    from .traffic import Operator
+
+LOST_AFTER_S = 4.5
+"""Seconds of silence after which the entry of a worker is removed."""
+
+LONGEST_SERIES = 4
+
+
+class FaultInjector:
+    """Injects faults until it is cancelled.
+
+    :ivar counts: number of faults of each kind
+    """
+
+    def __init__(
+        self,
+        deployment: SoakDeployment,
+        observations: Observations,
+        random: Random,
+        operator: Operator,
+        kinds: tuple[str, ...] = (),
+    ) -> None:
+        """Create an injector.
+
+        :param kinds: names of the faults to draw from; all of them if empty
+        """
+        self._deployment = deployment
+        self._observations = observations
+        self._random = random
+        self._operator = operator
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._busy: set[str] = set()
+        self.counts: dict[str, int] = {}
+        self._fault_by_name: dict[str, Callable[[], Awaitable[None]]] = {
+            "pause": self._pause,
+            "pause_planner": self._pause_planner,
+            "kill": self._kill,
+            "kill_planner": self._kill_planner,
+            "terminate": self._terminate,
+            "herd_kill": self._herd_kill,
+            "store_down": self._take_store_down,
+            "store_slow": self._slow_store,
+            "store_silent": self._silence_store,
+            "store_reset": self._reset_store,
+            "half_answers": self._cut_answers,
+            "lost_answers": self._drop_answers,
+            "truncated": self._truncate_topics,
+            "link_cut": self._cut_link,
+            "link_stalled": self._stall_link,
+            "all_stalled": self._stall_all,
+            "worker_crash": self._crash_worker,
+            "worker_cut": self._cut_worker,
+            "worker_stalled": self._stall_worker,
+            "worker_late": self._delay_orders,
+            "drain": self._drain_worker,
+            "evacuation": self._evacuate,
+            "changes_at_takeover": self._change_at_takeover,
+            "quiet": self._wait,
+        }
+        self._kinds = kinds or tuple(self._fault_by_name)
+
+    async def run(self, until: float, series: int) -> None:
+        """Inject series of faults, some of them at the same time.
+
+        :param until: monotonic time at which the last fault has begun
+        :param series: number of series that go on at a time
+        """
+        async with asyncio.TaskGroup() as group:
+            for _ in range(series):
+                group.create_task(self._run_series(until))
+        await asyncio.gather(*self._tasks)
+
+    async def _run_series(self, until: float) -> None:
+        random = self._random
+        while time.monotonic() < until:
+            name = random.choice(self._kinds)
+            for _ in range(random.randint(1, LONGEST_SERIES)):
+                if time.monotonic() >= until:
+                    return
+                self.counts[name] = self.counts.get(name, 0) + 1
+                await self._fault_by_name[name]()
+                await asyncio.sleep(random.uniform(0.0, 1.0))
+            await asyncio.sleep(random.uniform(0.2, 4.0))
+
+    def _later(self, work: Awaitable[None]) -> None:
+        async def run() -> None:
+            await work
+
+        task = asyncio.create_task(run())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    @contextlib.contextmanager
+    def _reserve(self, name: str) -> Iterator[bool]:
+        """Reserve a process or worker, unless another fault has it."""
+        is_free = name not in self._busy
+        self._busy.add(name)
+        try:
+            yield is_free
+        finally:
+            if is_free:
+                self._busy.discard(name)
+
+    def _choose_ip(self) -> str:
+        return self._random.choice(self._deployment.ips)
+
+    async def _find_planner(self) -> str:
+        return await self._deployment.find_planner()
+
+    # Processes
+
+    async def _pause(self, ip: str = "") -> None:
+        ip = ip or self._choose_ip()
+        duration_s = self._random.uniform(0.2, 5.0)
+        with self._reserve(ip) as is_free:
+            if is_free:
+                await self._deployment.pause(ip, duration_s)
+
+    async def _pause_planner(self) -> None:
+        await self._pause(await self._find_planner())
+
+    async def _restart(self, ip: str, number: signal.Signals) -> None:
+        down_s = self._random.uniform(0.1, 2.0)
+        with self._reserve(ip) as is_free:
+            if is_free:
+                await self._deployment.restart(ip, down_s, number)
+
+    async def _kill(self) -> None:
+        await self._restart(self._choose_ip(), signal.SIGKILL)
+
+    async def _kill_planner(self) -> None:
+        await self._restart(await self._find_planner(), signal.SIGKILL)
+
+    async def _terminate(self) -> None:
+        await self._restart(self._choose_ip(), signal.SIGTERM)
+
+    async def _herd_kill(self) -> None:
+        ips = [ip for ip in self._deployment.ips if self._random.random() < 0.6]
+        await asyncio.gather(*(self._restart(ip, signal.SIGKILL) for ip in ips))
+
+    # The store, and the links to it
+
+    async def _disturb_store(
+        self, attribute: str, value: object, usual: object
+    ) -> None:
+        duration_s = self._random.uniform(0.5, 6.0)
+        self._observations.disturb(STORE, duration_s)
+        setattr(self._deployment.store, attribute, value)
+        await asyncio.sleep(duration_s)
+        setattr(self._deployment.store, attribute, usual)
+
+    async def _take_store_down(self) -> None:
+        await self._disturb_store("is_down", True, False)
+
+    async def _slow_store(self) -> None:
+        await self._disturb_store("latency_s", self._random.uniform(0.05, 0.25), 0.0)
+
+    async def _silence_store(self) -> None:
+        duration_s = self._random.uniform(0.3, 5.0)
+        self._observations.disturb(STORE, duration_s)
+        for proxy in self._deployment.store_proxy_by_ip.values():
+            proxy.cut()
+        await asyncio.sleep(duration_s)
+        for proxy in self._deployment.store_proxy_by_ip.values():
+            proxy.heal()
+
+    async def _reset_store(self) -> None:
+        self._observations.disturb(STORE, 0.0)
+        for proxy in self._deployment.store_proxy_by_ip.values():
+            proxy.reset()
+
+    async def _cut_answers(self) -> None:
+        """Answer every process with half an answer, then refuse calls for a while."""
+        self._observations.disturb(STORE, 0.5)
+        for proxy in self._deployment.store_proxy_by_ip.values():
+            proxy.answers_to_cut = self._random.randint(1, 4)
+        await asyncio.sleep(self._random.uniform(0.0, 0.5))
+        if self._random.random() < 0.6:
+            await self._take_store_down()
+
+    async def _drop_answers(self) -> None:
+        self._observations.disturb(STORE, 2.0)
+        for proxy in self._deployment.store_proxy_by_ip.values():
+            proxy.answers_to_drop = self._random.randint(1, 3)
+
+    async def _truncate_topics(self) -> None:
+        for topic in ("keyed.op", "keyed.servers"):
+            await self._deployment.store.truncate(topic)
+
+    async def _cut_link(self) -> None:
+        ip = self._choose_ip()
+        proxy = self._deployment.store_proxy_by_ip[ip]
+        duration_s = self._random.uniform(0.5, 6.0)
+        self._observations.disturb(ip, duration_s)
+        proxy.cut()
+        await asyncio.sleep(duration_s)
+        proxy.heal()
+
+    async def _stall_link(self) -> None:
+        ip = self._choose_ip()
+        self._observations.disturb(ip, 0.0)
+        self._deployment.store_proxy_by_ip[ip].stall()
+
+    async def _stall_all(self) -> None:
+        """Let all open connections fall silent, to the store and to workers."""
+        self._observations.disturb(STORE, 0.0)
+        for proxy in self._deployment.store_proxy_by_ip.values():
+            proxy.stall()
+        for proxy in self._deployment.proxy_by_worker.values():
+            proxy.stall()
+
+    # Workers
+
+    def _choose_worker(self) -> WorkerStandIn:
+        return self._random.choice(self._deployment.workers)
+
+    async def _crash_worker(self) -> None:
+        worker = self._choose_worker()
+        with self._reserve(worker.id) as is_free:
+            if not is_free or not worker.is_up:
+                return
+            await worker.crash()
+            down_s = self._random.uniform(0.3, 7.0)
+            await asyncio.sleep(min(down_s, LOST_AFTER_S))
+            if down_s > LOST_AFTER_S:
+                await self._deployment.store.put("keyed.servers", worker.id, b"")
+                await asyncio.sleep(down_s - LOST_AFTER_S)
+            await worker.restart()
+            await asyncio.sleep(self._random.uniform(0.0, 1.5))
+            await self._deployment.list_worker(worker)
+
+    async def _cut_worker(self) -> None:
+        proxy = self._deployment.proxy_by_worker[self._choose_worker().id]
+        proxy.cut()
+        await asyncio.sleep(self._random.uniform(0.3, 9.0))
+        proxy.heal()
+
+    async def _stall_worker(self) -> None:
+        self._deployment.proxy_by_worker[self._choose_worker().id].stall()
+
+    async def _delay_orders(self) -> None:
+        worker = self._choose_worker()
+        worker.delay_s = self._random.uniform(1.0, 8.0)
+        worker.orders_to_delay = self._random.randint(1, 6)
+
+    async def _drain_worker(self) -> None:
+        worker = self._choose_worker()
+        with self._reserve(worker.id) as is_free:
+            if not is_free or not worker.is_up:
+                return
+            worker.state = "draining"
+            await self._deployment.list_worker(worker)
+            await asyncio.sleep(self._random.uniform(2.0, 6.0))
+            worker.state = "ready"
+            await self._deployment.list_worker(worker)
+
+    # The operator
+
+    async def _change_at_takeover(self) -> None:
+        """Change rules and zones while a new planner loads from a slow store."""
+        store = self._deployment.store
+        duration_s = self._random.uniform(2.0, 4.0)
+        self._observations.disturb(STORE, duration_s)
+        store.latency_s = self._random.uniform(0.05, 0.2)
+        self._later(self._kill_planner())
+        ends_at = time.monotonic() + duration_s
+        while time.monotonic() < ends_at:
+            await asyncio.sleep(self._random.uniform(0.1, 0.4))
+            await self._operator.write()
+            if self._random.random() < 0.3:
+                await self._evacuate()
+        store.latency_s = 0.0
+
+    async def _wait(self) -> None:
+        await asyncio.sleep(self._random.uniform(1.0, 6.0))
+
+    async def _evacuate(self) -> None:
+        zone = self._choose_worker().zone
+        with self._reserve(zone) as is_free:
+            if is_free:
+                self._later(self._evacuate_for(zone, self._random.uniform(2.0, 9.0)))
+
+    async def _evacuate_for(self, zone: str, duration_s: float) -> None:
+        store = self._deployment.store
+        with self._reserve(f"evacuated {zone}") as is_free:
+            if not is_free:
+                return
+            await store.put("keyed.op", f"evacuate/{zone}", b"{}")
+            began_at = time.monotonic()
+            await asyncio.sleep(duration_s)
+            ended_at = time.monotonic()
+            await store.put("keyed.op", f"evacuate/{zone}", b"")
+            evacuation = Evacuation(zone, began_at, ended_at)
+            self._observations.evacuations.append(evacuation)
--- /dev/null
+++ b/testkit/soak/observations.py
@@ -0,0 +1,116 @@
+"""What clients, the operator and the injector of faults have seen."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+CONTACT_S = 3.0
+"""Seconds without a disturbance after which a process and the store count as calm."""
+
+STORE = "store"
+"""Scope of the disturbances of the store itself."""
+
+
+@dataclass(slots=True)
+class Job:
+    """A job that a client has submitted.
+
+    Times are monotonic seconds; 0 if it has not come to that.
+
+    :param body: the body as it was submitted
+    :param unknown_attempts: submissions that were not answered
+    :param states: time and state of each answer to a question for its state
+    """
+
+    id: str
+    body: dict[str, Any]
+    submitted_at: float
+    accepted_at: float = 0.0
+    refused_attempts: int = 0
+    unknown_attempts: int = 0
+    cancel_sent_at: float = 0.0
+    cancelled_at: float = 0.0
+    states: list[tuple[float, str, str]] = field(default_factory=list)
+
+    @property
+    def is_refused(self) -> bool:
+        """Whether every submission was certainly refused."""
+        return not self.accepted_at and not self.unknown_attempts
+
+    def list_tasks(self) -> list[str]:
+        """Return the names of all its tasks."""
+        return [
+            f"{self.id}.{occurrence}.{number}.{position}"
+            for occurrence in range(max(1, self.body.get("repeatCount", 0)))
+            for number, step in enumerate(self.body["steps"])
+            for position in range(step["count"])
+        ]
+
+
+@dataclass(frozen=True, slots=True)
+class Version:
+    """A configuration that the operator has written.
+
+    :param routes: numbers of the optional routes that it has
+    :param keys: numbers of the optional keys that it has
+    """
+
+    number: int
+    routes: frozenset[int]
+    keys: frozenset[int]
+    sent_at: float
+    acknowledged_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """A call for the count of an optional route, with an optional key.
+
+    :param incarnation: number of the process at this address
+    """
+
+    ip: str
+    incarnation: int
+    route: int
+    key: int
+    sent_at: float
+    answered_at: float
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class Evacuation:
+    """A zone that was out of service."""
+
+    zone: str
+    acknowledged_at: float
+    ended_at: float
+
+
+@dataclass(slots=True)
+class Observations:
+    """Everything that the checks need, in monotonic seconds."""
+
+    began_at: float = field(default_factory=time.monotonic)
+    job_by_id: dict[str, Job] = field(default_factory=dict)
+    versions: list[Version] = field(default_factory=list)
+    probes: list[Probe] = field(default_factory=list)
+    evacuations: list[Evacuation] = field(default_factory=list)
+    disturbances: list[tuple[str, float, float]] = field(default_factory=list)
+    """Scope, begin and end of each disturbance."""
+
+    def disturb(self, scope: str, duration_s: float) -> None:
+        """Record a disturbance that begins now."""
+        now = time.monotonic()
+        self.disturbances.append((scope, now, now + duration_s))
+
+    def is_calm(self, scopes: set[str] | None, since: float, until: float) -> bool:
+        """Whether nothing has disturbed any of some scopes, or None for all of them."""
+        return not any(
+            (scopes is None or scope in scopes)
+            and began_at <= until
+            and ended_at >= since - CONTACT_S
+            for scope, began_at, ended_at in self.disturbances
+        )
--- /dev/null
+++ b/testkit/soak/traffic.py
@@ -0,0 +1,229 @@
+"""Clients that keep using their open connections, and an operator."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from typing import TYPE_CHECKING, Any
+
+from jacinthloom_wire.errors import TransportError
+from jacinthloom_wire.http_client import HttpClient
+
+from ..hosted.deployment import FRONT_PORT, KEY, PREFIX
+from .deployment import HOST
+from .observations import Job, Probe, Version
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from jacinthloom_wire.http_client import Response
+
+    from .deployment import SoakDeployment
+    from .observations import Observations
+
+CALL_TIMEOUT_S = 4.0
+BUDGET_MS = 3_000
+MAX_ATTEMPTS = 6
+OPTIONAL_ROUTES = 4
+OPTIONAL_KEYS = 3
+FINAL_STATES = frozenset({"completed", "failed", "cancelled"})
+
+
+class Client:
+    """One client, which stays with a process until a call to it fails."""
+
+    def __init__(
+        self, deployment: SoakDeployment, observations: Observations, random: Random
+    ) -> None:
+        self._deployment = deployment
+        self._observations = observations
+        self._random = random
+        self._connection_by_ip: dict[str, HttpClient] = {}
+        self._ip = ""
+
+    async def call(
+        self, ip: str, method: str, path: str, body: object = None, key: str = KEY
+    ) -> Response | None:
+        """Call a process; return None if there is no complete answer."""
+        client = self._connection_by_ip.get(ip)
+        if client is None:
+            address = f"{ip}:{FRONT_PORT}"
+            client = HttpClient(address, host_name=HOST)
+            self._connection_by_ip[ip] = client
+        headers = (
+            ("Authorization", f"Token {key}"),
+            ("X-Jacinthloom-Time-Budget-Ms", str(BUDGET_MS)),
+        )
+        data = b"" if body is None else json.dumps(body).encode()
+        try:
+            return await client.request(method, path, data, headers, CALL_TIMEOUT_S)
+        except TransportError:
+            return None
+
+    def choose_ip(self, is_failed: bool = False) -> str:
+        """Return the process that this client uses, another one after a failure."""
+        if is_failed or not self._ip:
+            self._ip = self._random.choice(self._deployment.ips)
+        return self._ip
+
+    async def run(self, until: float, pause_s: float) -> None:
+        """Submit jobs one after the other, and ask for their states."""
+        while time.monotonic() < until:
+            job = self._make_job()
+            self._observations.job_by_id[job.id] = job
+            await self._submit(job)
+            if job.accepted_at and self._random.random() < 0.05:
+                await self._repeat(job)
+            if job.accepted_at and self._random.random() < 0.08:
+                await self._cancel(job)
+            await asyncio.sleep(self._random.uniform(0, 2 * pause_s))
+            await self.ask(job)
+
+    def _make_job(self) -> Job:
+        random = self._random
+        name = f"{random.getrandbits(64):016x}"
+        steps: list[dict[str, Any]] = [
+            {
+                "count": random.choice((1, 2, 3, 6, 12)),
+                "cpu": random.choice((300, 500, 1000)),
+                "memMb": 100,
+                "estRuntimeMs": 1000,
+            }
+            for _ in range(random.choice((1, 1, 2)))
+        ]
+        if len(steps) > 1:
+            steps[1] |= {"after": [0]}
+        body: dict[str, Any] = {"spec": f"text of {name}", "steps": steps}
+        if random.random() < 0.15:
+            body |= {
+                "startAtMs": int((time.time() + random.uniform(0.0, 2.0)) * 1000),
+                "periodMs": random.randint(300, 3_000),
+                "repeatCount": random.randint(2, 4),
+            }
+        return Job(name, body, time.monotonic())
+
+    async def _submit(self, job: Job) -> None:
+        is_failed = False
+        for _ in range(MAX_ATTEMPTS):
+            ip = self.choose_ip(is_failed)
+            response = await self.call(ip, "POST", PREFIX + job.id, job.body)
+            if response is not None and response.status == 200:
+                job.accepted_at = time.monotonic()
+                return
+            is_failed = True
+            if response is not None and response.status in (429, 503):
+                job.refused_attempts += 1
+            else:
+                job.unknown_attempts += 1
+            await asyncio.sleep(self._random.uniform(0.2, 1.0))
+
+    async def _repeat(self, job: Job) -> None:
+        await asyncio.sleep(self._random.uniform(0.0, 3.0))
+        ip = self._random.choice(self._deployment.ips)
+        await self.call(ip, "POST", PREFIX + job.id, job.body)
+
+    async def _cancel(self, job: Job) -> None:
+        await asyncio.sleep(self._random.uniform(0.0, 2.0))
+        for _ in range(MAX_ATTEMPTS):
+            job.cancel_sent_at = job.cancel_sent_at or time.monotonic()
+            response = await self.call(self.choose_ip(), "DELETE", PREFIX + job.id)
+            if response is not None and response.status in (200, 410):
+                job.cancelled_at = time.monotonic()
+                return
+            self.choose_ip(is_failed=True)
+            await asyncio.sleep(0.5)
+
+    async def ask(self, job: Job) -> str:
+        """Ask for the state of a job and return it, or an empty string."""
+        ip = self.choose_ip()
+        response = await self.call(ip, "GET", PREFIX + job.id)
+        if response is None or response.status not in (200, 410):
+            self.choose_ip(is_failed=True)
+            return ""
+        state = "410"
+        if response.status == 200:
+            state = str(json.loads(response.body)["state"])
+        job.states.append((time.monotonic(), ip, state))
+        return state
+
+    async def probe(self, ip: str, route: int, key: int) -> None:
+        """Call a process on an optional route, with an optional key.
+
+        The call asks for the count of the route's jobs, or submits a job.
+        """
+        incarnation = self._deployment.incarnation_by_ip.get(ip, 0)
+        sent_at = time.monotonic()
+        path = f"/route-{route}/"
+        if self._random.random() < 0.5:
+            response = await self.call(ip, "GET", path, key=f"key-{key}")
+        else:
+            response = await self._probe_with_job(ip, path, f"key-{key}")
+        if response is None:
+            return
+        if incarnation != self._deployment.incarnation_by_ip.get(ip, 0):
+            return
+        probe = Probe(
+            ip, incarnation, route, key, sent_at, time.monotonic(), response.status
+        )
+        self._observations.probes.append(probe)
+
+    async def _probe_with_job(self, ip: str, path: str, key: str) -> Response | None:
+        name = f"{self._random.getrandbits(64):016x}"
+        step = {"count": 1, "cpu": 100, "memMb": 10, "estRuntimeMs": 500}
+        body = {"spec": f"text of {name}", "steps": [step]}
+        job = Job(name, body, time.monotonic())
+        self._observations.job_by_id[name] = job
+        response = await self.call(ip, "POST", path + name, body, key)
+        if response is None or response.status >= 500 and response.status != 503:
+            job.unknown_attempts += 1
+        elif response.status == 200:
+            job.accepted_at = time.monotonic()
+        return response
+
+    async def keep_probing(self, ip: str, until: float, pause_s: float) -> None:
+        """Probe one process with routes and keys that come and go."""
+        while time.monotonic() < until:
+            route = self._random.randrange(OPTIONAL_ROUTES)
+            await self.probe(ip, route, self._random.randrange(OPTIONAL_KEYS))
+            await asyncio.sleep(self._random.uniform(0, 2 * pause_s))
+
+    def close(self) -> None:
+        """Close all connections."""
+        for client in self._connection_by_ip.values():
+            client.close()
+
+
+class Operator:
+    """Writes versions of the configuration."""
+
+    def __init__(
+        self, deployment: SoakDeployment, observations: Observations, random: Random
+    ) -> None:
+        self._deployment = deployment
+        self._observations = observations
+        self._random = random
+        self._lock = asyncio.Lock()
+        now = time.monotonic()
+        first = Version(1, frozenset(), frozenset(), now, now)
+        observations.versions.append(first)
+
+    async def write(self) -> None:
+        """Write a version with other routes and keys."""
+        random = self._random
+        async with self._lock:
+            number = self._observations.versions[-1].number + random.randint(1, 5)
+            routes = frozenset(
+                n for n in range(OPTIONAL_ROUTES) if random.random() < 0.5
+            )
+            keys = frozenset(n for n in range(OPTIONAL_KEYS) if random.random() < 0.7)
+            sent_at = time.monotonic()
+            await self._deployment.write_configuration(number, routes, keys)
+            version = Version(number, routes, keys, sent_at, time.monotonic())
+            self._observations.versions.append(version)
+
+    async def run(self, until: float) -> None:
+        """Write versions, now and then in quick succession."""
+        while time.monotonic() < until:
+            await self.write()
+            await asyncio.sleep(self._random.choice((0.05, 0.5, 3.0, 4.0, 6.0)))
