Read a record again whose response was cut short

Cause: a read of the log whose body ended within a record handed the piece on as a record. It could not be decoded, and the position moved past it: a configuration was ignored and never read again (CONFIG). It takes a body without a length that ends early; with a length the HTTP client notices.

Change: only whole records count, and the next read begins behind them. A response without a whole record is a failed read.

Evidence: test_record_that_is_cut_short_is_read_again failed before.

--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/log_store.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/log_store.py
@@ -277,8 +277,15 @@
     end, first = struct.unpack_from(">QQ", body)
     records = []
     position = 16
-    while position + 4 <= len(body):
-        (length,) = struct.unpack_from(">I", body, position)
-        records.append(body[position + 4 : position + 4 + length])
-        position += 4 + length
+    while position < len(body):
+        length = int.from_bytes(body[position : position + 4], "big")
+        following = position + 4 + length
+        if following > len(body):
+            break  # the rest is missing, and is read again
+        records.append(body[position + 4 : following])
+        position = following
+    if position < len(body) and not records:
+        raise UnavailableError(
+            "a read response ends within its first record", is_outcome_unknown=False
+        )
     return ReadRecords(max(start, first) if not records else start, tuple(records), end)
--- a/tests/platform_adapter/test_log_store.py
+++ b/tests/platform_adapter/test_log_store.py
@@ -4,6 +4,7 @@
 
 import base64
 import json
+import struct
 import unittest
 
 from jacinthloom_daemon.platform.errors import UnavailableError
@@ -57,6 +58,25 @@
                 await self.store.append("keyed.jobs", [b"x"])
             self.assertTrue(caught.exception.is_outcome_unknown)
 
+    # Guards against a change that is taken for read, and never read again, since the
+    # response that carried it was cut short.
+    async def test_record_that_is_cut_short_is_read_again(self) -> None:
+        def encode(*records: bytes) -> bytes:
+            return b"".join(struct.pack(">I", len(data)) + data for data in records)
+
+        head = struct.pack(">QQ", 9, 0)
+        whole = head + encode(b"first", b"second")
+        for cut in range(1, 4 + len(b"second")):
+            self.pages.append((200, whole[:-cut]))
+            read = await self.store.read("keyed.op", 7)
+            self.assertEqual((read.records, read.next_offset), ((b"first",), 8))
+        for cut in range(1, 4 + len(b"first")):
+            self.pages.append((200, (head + encode(b"first"))[:-cut]))
+            with self.assertRaises(UnavailableError):
+                await self.store.read("keyed.op", 7)
+        self.pages.append((200, whole))
+        self.assertEqual((await self.store.read("keyed.op", 7)).next_offset, 9)
+
     # Guards against an append that counts as certainly not stored though an
     # intermediary answered in place of the store.
     async def test_outcome_of_an_append_is_known_only_from_the_store(self) -> None:
