Drop idle connections once a reused one times out

Cause: open connections may fall silent for good while new ones work. Only a timeout shows it, and each call after one took the next idle connection and waited for its own timeout: up to 16 for a worker, 4 for the store.

Change: a timeout on a connection that was reused closes all idle ones.

--- a/packages/jacinthloom-wire/src/jacinthloom_wire/http_client.py
+++ b/packages/jacinthloom-wire/src/jacinthloom_wire/http_client.py
@@ -117,6 +117,7 @@
             whether the request may have been sent
         """
         sent = False
+        is_reused = bool(self._idle) and not new_connection
         connection: _Connection | None = None
         try:
             async with asyncio.timeout(timeout):
@@ -131,6 +132,9 @@
         except (OSError, EOFError, h11.ProtocolError, TimeoutError) as error:
             if connection is not None:
                 connection.close()
+            if is_reused and isinstance(error, TimeoutError):
+                # The other idle connections may have fallen silent as well.
+                self.close()
             reason = str(error) or type(error).__name__
             raise TransportError(
                 f"{self._host}:{self._port}: {reason}", sent
