Use a returned worker once its entry is its own

Cause: a worker that returns under its id may be of another kind or capacity. Between its first answer and the renewal of its entry, the planner placed tasks by the labels and the capacity of the incarnation before (ROUTE, LIMIT).

Change: a worker is usable only if its entry has the start time of the incarnation that answers, or none at all.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/fleet.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/fleet.py
@@ -204,12 +204,25 @@
             and self.entry.is_ready
             and self.incarnation != 0
             and self.fenced_incarnation == self.incarnation
+            and self.describes_incarnation
             and now - self.answered_at < CONTACT_TIMEOUT_S
             and now >= self.quarantined_until
             and not self.failed_polls
             and not self.is_suspect
         )
 
+    @property
+    def describes_incarnation(self) -> bool:
+        """Whether the entry is that of the incarnation that answers.
+
+        A worker may return under its id with other labels or another capacity, before
+        its entry is renewed. Entries without a start time are taken as they are.
+        """
+        return self.entry is not None and self.entry.incarnation in (
+            0,
+            self.incarnation,
+        )
+
     def compute_deadline_ms(self, now: float, lease_s: float) -> int:
         """Return the time ``lease_s`` seconds from now on the worker's clock."""
         return int(self.clock_ms + (now - self.clock_at + lease_s) * 1000)
--- /dev/null
+++ b/tests/planner/test_returned_workers.py
@@ -0,0 +1,67 @@
+"""A worker returns under its id as a machine of another kind or capacity."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+
+from jacinthloom_core.model.resources import Resources
+from jacinthloom_core.planner import effects, events
+from jacinthloom_core.planner.specs import StepSpec
+
+from .test_takeover import (
+    ENTRY,
+    JOB,
+    Store,
+    answer_poll,
+    find_starts,
+    make_planner,
+    store_batches,
+)
+
+LABELLED = replace(JOB, steps=(StepSpec(1, Resources(100, 100), 1.0, label="fast"),))
+
+
+class ReturnedWorkersTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.store = Store()
+        self.planner = make_planner(1, self.store, 0.0)
+        old = replace(ENTRY, labels=frozenset({"fast", "r1-1"}))
+        self.planner.handle(events.WorkerListed(0.05, old))
+        answer_poll(self.planner, 0.1)
+
+    def poll(self, now: float, incarnation: int) -> list[effects.Start]:
+        token = self.planner.state.worker_by_id["w1"].token
+        return self.apply(
+            events.WorkerPolled(now, "w1", now - 0.01, token, incarnation, 9, (), ()),
+            now,
+        )
+
+    def apply(self, event: events.Event, now: float) -> list[effects.Start]:
+        """Handle an event, run the pass that it requests, and store the batches."""
+        emitted = self.planner.handle(event)
+        emitted += self.planner.handle(events.FlushDue(now + 0.05))
+        return find_starts(store_batches(self.planner, self.store, emitted, now + 0.05))
+
+    # Guards against a start on a worker without the label of its step, or beyond its
+    # capacity, since the planner goes by the entry of an earlier incarnation.
+    def test_returned_worker_is_used_once_its_entry_is_renewed(self) -> None:
+        self.poll(1.0, 6)
+        submitted = events.JobSubmitted(1.1, 1, LABELLED)
+        self.assertEqual(self.apply(submitted, 1.1), [])
+        self.assertEqual(self.poll(1.2, 6), [])
+        slow = replace(ENTRY, labels=frozenset({"slow"}), incarnation=6)
+        self.assertEqual(self.apply(events.WorkerListed(1.3, slow), 1.3), [])
+        fast = replace(ENTRY, labels=frozenset({"fast"}), incarnation=6)
+        starts = self.apply(events.WorkerListed(1.5, fast), 1.5)
+        self.assertEqual([start.worker for start in starts], ["w1"])
+
+    def test_worker_whose_entry_has_no_start_time_is_used(self) -> None:
+        entry = replace(ENTRY, labels=frozenset({"fast"}), incarnation=0)
+        self.planner.handle(events.WorkerListed(0.2, entry))
+        starts = self.apply(events.JobSubmitted(1.1, 1, LABELLED), 1.1)
+        self.assertEqual([start.worker for start in starts], ["w1"])
+
+
+if __name__ == "__main__":
+    unittest.main()
