--- a/testkit/hosted/worker.py
+++ b/testkit/hosted/worker.py
@@ -56,6 +56,7 @@
     :ivar lapsed_at: times at which its lease expired
     :ivar orders_to_delay: number of starts and stops that are not answered, and carried
         out after ``delay_s``
+    :ivar mute_until: monotonic time until which calls are dropped
     """
 
     def __init__(
@@ -77,6 +78,7 @@
         self.lapsed_at: list[float] = []
         self.orders_to_delay = 0
         self.delay_s = 2.0
+        self.mute_until = 0.0
         self.address = ""
         self.listed_address = ""
         """Address in the worker's entry, if it is reached through another one."""
@@ -147,6 +149,9 @@
         return ServerResponse.from_json(status, head | fields)
 
     async def _handle(self, request: Request) -> ServerResponse:
+        if time.monotonic() < self.mute_until:
+            await asyncio.sleep(max(0.0, self.mute_until - time.monotonic()))
+            raise ConnectionResetError
         body = json.loads(request.body)
         if request.headers.get("x-jacinthloom-expect-instance") != self.id:
             return self._respond(421)
--- a/testkit/soak/faults.py
+++ b/testkit/soak/faults.py
@@ -70,6 +70,7 @@
             "worker_crash": self._crash_worker,
             "worker_cut": self._cut_worker,
             "worker_stalled": self._stall_worker,
+            "workers_mute": self._mute_workers,
             "worker_late": self._delay_orders,
             "drain": self._drain_worker,
             "evacuation": self._evacuate,
@@ -254,6 +255,12 @@
         await asyncio.sleep(self._random.uniform(0.3, 9.0))
         proxy.heal()
 
+    async def _mute_workers(self) -> None:
+        """Let some workers drop all calls for a while, and run on."""
+        for worker in self._deployment.workers:
+            if self._random.random() < 0.3:
+                worker.mute_until = time.monotonic() + self._random.uniform(0.3, 3.0)
+
     async def _stall_worker(self) -> None:
         self._deployment.proxy_by_worker[self._choose_worker().id].stall()
 
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -23,6 +23,7 @@
     "tests.test_hosted_processes",
     "tests.test_operations_page",
     "tests.test_process_faults",
+    "tests.test_soak",
     "tests.test_thin_path",
 )
 """Modules that start entry processes, in the order in which they run."""
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,33 @@
+"""Short soaks of real processes behind proxies keep the users' rules."""
+
+from __future__ import annotations
+
+import unittest
+
+from testkit.soak.soak import SoakSettings, run_soak
+
+SECONDS = 15.0
+SEEDS = (1, 2)
+
+
+class SoakTest(unittest.IsolatedAsyncioTestCase):
+    async def run_seed(self, settings: SoakSettings) -> None:
+        result = await run_soak(settings)
+        self.assertEqual(result.violations, (), str(result))
+        self.assertGreater(result.accepted, 0)
+        self.assertEqual(result.events["planner_failed"], 0, str(result))
+
+    # Guards against what overlapping series of faults bring about in real processes.
+    async def test_rules_hold_beside_faults_of_all_kinds(self) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                await self.run_seed(SoakSettings(seed, 4, 12, SECONDS, 3, 6))
+
+    # Guards against a planner that misses what changes while it loads its records.
+    async def test_rules_hold_with_changes_at_every_takeover(self) -> None:
+        kinds = ("changes_at_takeover", "quiet")
+        await self.run_seed(SoakSettings(11, 3, 8, SECONDS, 1, 6, kinds=kinds))
+
+
+if __name__ == "__main__":
+    unittest.main()
