Let others start beside a gang that reserves without an end

Cause: workers were drained as if tasks that last would end, and nothing ended the reservation of a gang whose room never came.

Change: only workers that the gang fits on beside lasting tasks are drained. Where less than half of a pool or of an account's limit is in use, gangs and the other steps take turns of 1.5 s.

Related paths: room of gangs that wait for tickets, and the limit that a waiting gang keeps for its account, go by the same turns.

Evidence: tests/planner/test_gang_capacity.py, three new tests failed before; a fourth shows that gangs still reserve where most is in use.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/fleet.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/fleet.py
@@ -188,13 +188,20 @@
             count = min(count, self.free_accelerators // size.accelerators)
         return max(0, count)
 
-    def count_fitting_when_empty(self, size: Resources, fills: bool = False) -> int:
-        """Return how many tasks of a size would fit if the worker were idle."""
+    def count_fitting_when_drained(self, size: Resources, fills: bool = False) -> int:
+        """Return how many tasks of a size would fit once all others have ended.
+
+        Tasks that last keep their resources.
+        """
         if self.entry is None:
             return 0
-        empty = Worker(self.id, self.token)
-        empty.accept(self.entry)
-        return empty.count_fitting(size, fills)
+        drained = Worker(self.id, self.token)
+        drained.accept(self.entry)
+        for task in self.task_by_id.values():
+            spec = task.step.spec
+            if spec.lasting and not task.is_stopping:
+                drained.reserve(spec.size, spec.fills)
+        return drained.count_fitting(size, fills)
 
     def is_usable(self, now: float) -> bool:
         """Whether the worker is fenced, in contact, ready and not in quarantine."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/isolation.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/isolation.py
@@ -177,7 +177,7 @@
         limit = max(1, int(len(workers) * MAX_ISOLATED_SHARE))
 
         def count_fitting(worker: Worker) -> int:
-            return worker.count_fitting_when_empty(spec.size, spec.fills)
+            return worker.count_fitting_when_drained(spec.size, spec.fills)
 
         for worker in self._host_by_id.values():
             if worker.isolation and worker.isolation.job == job and worker in workers:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/reservations.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/reservations.py
@@ -10,6 +10,39 @@
     from .fleet import Worker
 
 
+RESERVE_S = 1.5
+"""Seconds for which gangs may reserve what is mostly idle before others go first."""
+
+YIELD_S = 1.5
+"""Seconds for which others go first."""
+
+BUSY_SHARE = 0.5
+"""Share in use from which a pool of workers or a limit counts as busy."""
+
+
+class ReservationTurns:
+    """Takes turns between gangs that reserve and steps that could start meanwhile.
+
+    Reservations have no end of their own: what a gang waits for may never become free.
+    Where much is idle they would keep every other step from starting. Where little is,
+    the others have had their share, and gangs reserve until they start.
+    """
+
+    def __init__(self) -> None:
+        self._began_at_by_name: dict[str, float] = {}
+
+    def may_reserve(self, name: str, is_busy: bool, now: float) -> bool:
+        """Whether gangs may reserve now.
+
+        :param name: pool of workers or client account that the reservation concerns
+        :param is_busy: whether most of it is in use
+        """
+        began_at = self._began_at_by_name.get(name)
+        if began_at is None or now - began_at >= RESERVE_S + YIELD_S:
+            began_at = self._began_at_by_name[name] = now
+        return is_busy or now - began_at < RESERVE_S
+
+
 class Reservations:
     """Capacity that later steps must not take in the same scheduling pass."""
 
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/scheduler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/scheduler.py
@@ -5,17 +5,17 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from ..model.resources import Resources
 from .advice_candidates import choose_candidates
 from .crashes import give_up, has_used_up_starts
 from .isolation import IsolationPolicy
 from .jobs import TaskState
 from .order import HOPELESS_LEVELS
 from .placement import place_gang, place_tasks
-from .reservations import Reservations
+from .reservations import BUSY_SHARE, Reservations, ReservationTurns
 from .sharing import may_share
 
 if TYPE_CHECKING:
-    from ..model.resources import Resources
     from .advice import StepAdvice
     from .fleet import Worker
     from .jobs import StepRun, Task
@@ -62,6 +62,21 @@
         return [worker for worker in workers if advice.may_be_recommended(worker)]
 
 
+def _is_busy(workers: list[Worker]) -> bool:
+    """Whether most of any resource of a pool of workers is in use."""
+    total = used = Resources()
+    for worker in workers:
+        assert worker.entry is not None
+        capacity = worker.entry.capacity
+        total += capacity
+        used += Resources(
+            capacity.processors - worker.free_processors,
+            capacity.memory - worker.free_memory,
+            capacity.accelerators - worker.free_accelerators,
+        )
+    return used.dominant_share(total) >= BUSY_SHARE
+
+
 class Scheduler:
     """Places waiting tasks on workers, in the order of the ranks of their steps."""
 
@@ -74,6 +89,9 @@
         self._waiting_suspects: list[tuple[StepRun, list[Worker]]] = []
         """Steps whose suspects were not placed, with the workers that may run them."""
         self._drained_gangs = 0
+        self._turns = ReservationTurns()
+        self._busy_services: set[str] = set()
+        """Pools of which most is in use, as the current pass found them."""
         self.reason_by_step: dict[StepId, str] = {}
         """Why steps were not placed, or not entirely, in the last pass."""
         self.considered_steps = 0
@@ -86,10 +104,13 @@
         self._drained_gangs = 0
         self._isolation.release_hosts(now)
         usable = self._group_usable(now)
+        self._busy_services = {
+            service for service, workers in usable.items() if _is_busy(workers)
+        }
         for rank, step, queue in self._sort_ready():
             self._schedule_step(step, queue, rank, usable.get(queue.service, []), now)
             if step.spec.gang and rank[0] not in HOPELESS_LEVELS:
-                self._reserve_limit(step)
+                self._reserve_limit(step, now)
         for step, workers in self._waiting_suspects:
             self._isolation.reserve_idle(step, workers, now)
         self._waiting_suspects.clear()
@@ -98,7 +119,7 @@
             self._state.add_usage(client_account, size, -count)
         self._reserved_limits.clear()
 
-    def _reserve_limit(self, step: StepRun) -> None:
+    def _reserve_limit(self, step: StepRun, now: float) -> None:
         """Keep later steps of a client account off the limit that a gang waits for.
 
         Smaller tasks would otherwise take each part of the limit as soon as it is free.
@@ -106,7 +127,10 @@
         spec, account = step.spec, step.occurrence.job.spec.tenant
         if len(step.list_waiting()) < spec.count:
             return
-        if self._state.count_allowed_when_idle(account, spec.size) >= spec.count:
+        if self._state.count_allowed_when_idle(account, spec.size) < spec.count:
+            return
+        is_busy = self._state.uses_share_of_limit(account, BUSY_SHARE)
+        if self._turns.may_reserve(f"account {account}", is_busy, now):
             self._state.add_usage(account, spec.size, spec.count)
             self._reserved_limits.append((account, spec.size, spec.count))
 
@@ -256,14 +280,20 @@
         fitting = place_gang(step, waiting, possible)
         if fitting:
             self.reason_by_step[step.id] = "the gang fits, but tickets are missing"
-            for _, worker in fitting:
-                self._reservations.reserve(worker, step.spec.size, step.spec.fills)
+            if self._may_reserve(context):
+                for _, worker in fitting:
+                    self._reservations.reserve(worker, step.spec.size, step.spec.fills)
             self._request_advice(context, possible, waiting)
             return
         self.reason_by_step[step.id] = "not enough free capacity for the whole gang"
         if self._drained_gangs < MAX_DRAINED_GANGS:
             self._drain_for_gang(context, possible)
 
+    def _may_reserve(self, context: _StepContext) -> bool:
+        service = context.queue.service
+        is_busy = service in self._busy_services
+        return self._turns.may_reserve(f"service {service}", is_busy, context.now)
+
     def _drain_for_gang(self, context: _StepContext, possible: list[Worker]) -> None:
         """Place no more tasks on the workers that can soonest take a gang."""
         spec, advice = context.step.spec, context.advice
@@ -277,15 +307,17 @@
         for worker in sorted(possible, key=rank):
             if missing <= 0:
                 break
-            drained.append(worker)
-            missing -= worker.count_fitting_when_empty(spec.size, spec.fills)
+            if fitting := worker.count_fitting_when_drained(spec.size, spec.fills):
+                drained.append(worker)
+                missing -= fitting
         if missing > 0:
             # Draining them all would block other steps for a gang that can't run.
             self.reason_by_step[context.step.id] = "too few workers can run the gang"
             return
         self._drained_gangs += 1
-        for worker in drained:
-            self._reservations.reserve_all(worker)
+        if self._may_reserve(context):
+            for worker in drained:
+                self._reservations.reserve_all(worker)
         if any(rank(worker)[0] for worker in drained):
             self._request_advice(context, possible, context.waiting)
 
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/state.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/state.py
@@ -182,6 +182,19 @@
         used = self.usage_by_client_account.get(client_account, [0, 0, 0])
         return self._count_within_limit(client_account, size, used)
 
+    def uses_share_of_limit(self, client_account: str, share: float) -> bool:
+        """Whether a client account uses at least a share of any limit that it has."""
+        account = self.rules.client_account_by_name.get(client_account)
+        if account is None:
+            return False
+        used = self.usage_by_client_account.get(client_account, [0, 0, 0])
+        limit = account.limit
+        limits = (limit.processors, limit.memory, limit.accelerators)
+        return any(
+            maximum and taken >= share * maximum
+            for maximum, taken in zip(limits, used, strict=True)
+        )
+
     def count_allowed_when_idle(self, client_account: str, size: Resources) -> int:
         """Return how many tasks of a size a client account may run at most."""
         return self._count_within_limit(client_account, size, [0, 0, 0])
--- a/tests/planner/test_gang_capacity.py
+++ b/tests/planner/test_gang_capacity.py
@@ -7,6 +7,7 @@
 
 from jacinthloom_core.model.resources import Resources
 from jacinthloom_core.planner import effects, events
+from jacinthloom_core.planner.reservations import RESERVE_S, YIELD_S
 from jacinthloom_core.planner.rules import AdvicePolicy, ClientAccount, Queue, Rules
 from jacinthloom_core.planner.specs import JobSpec, StepSpec
 
@@ -24,6 +25,8 @@
 )
 GANG = StepSpec(WORKERS, Resources(1000, 100), 5.0, gang=True)
 SMALL = StepSpec(1, Resources(300, 100), 3.0)
+LONG = StepSpec(1, Resources(300, 100), 30.0)
+"""A task that ranks behind the gang, as it has more time."""
 
 
 class GangCapacityTest(unittest.TestCase):
@@ -64,6 +67,23 @@
             self.now += 0.05
             self.apply_effects(self.planner.handle(events.FlushDue(self.now)))
 
+    def keep_running(self, duration_s: float) -> None:
+        """Let time pass while all workers list what was started on them."""
+        until = self.now + duration_s
+        while self.now < until:
+            self.advance(0.1)
+            tick = events.Tick(self.now, int(self.now * 1000))
+            self.apply_effects(self.planner.handle(tick))
+            for worker in list(self.planner.state.worker_by_id.values()):
+                running = tuple(
+                    events.RunProgress(task.id, task.run, "", int(self.now * 10))
+                    for task in worker.task_by_id.values()
+                )
+                polled = events.WorkerPolled(
+                    self.now, worker.id, self.now, worker.token, 5, 9, running, ()
+                )
+                self.apply_effects(self.planner.handle(polled))
+
     def answer_advice_requests(self) -> None:
         for request in self.advice_requests:
             recommended = tuple((worker, "ticket") for worker in request.workers)
@@ -115,6 +135,63 @@
         self.advance(0.2)
         self.assertEqual(self.list_started_jobs(), [small])
 
+    # Guards against a gang that keeps all capacity for itself, without an end, beside
+    # tasks that last and leave too little for it.
+    def test_gang_that_cannot_fit_beside_lasting_tasks_does_not_block_others(
+        self,
+    ) -> None:
+        lasting = StepSpec(
+            WORKERS, Resources(100, 10), 1.0, lasting=True, most_per_worker=1
+        )
+        self.submit("small", lasting)
+        self.advance(0.2)
+        self.assertEqual(len(self.starts), WORKERS)
+        self.submit("small", replace(GANG, lasting=True))
+        self.advance(0.2)
+        small = self.submit("small", SMALL)
+        self.advance(0.2)
+        self.assertIn(small, self.list_started_jobs())
+
+    def start_small_gang_job(self, limit: int = 0) -> str:
+        """Let a gang wait for what one long task keeps; return a job behind it."""
+        account = ClientAccount("t", 1, Resources(limit, 0))
+        rules = replace(RULES, version=2, client_account_by_name={"t": account})
+        self.apply_effects(self.planner.handle(events.RulesChanged(self.now, rules)))
+        self.submit("small", LONG)
+        self.keep_running(0.2)
+        self.submit("small", GANG)
+        self.keep_running(0.2)
+        return self.submit("small", LONG)
+
+    # Guards against a gang that waits for one long task while all else is idle, and
+    # keeps every other job from starting meanwhile.
+    def test_others_start_beside_a_gang_that_waits_where_much_is_idle(self) -> None:
+        small = self.start_small_gang_job()
+        self.keep_running(0.2)
+        self.assertNotIn(small, self.list_started_jobs())
+        self.keep_running(RESERVE_S)
+        self.assertIn(small, self.list_started_jobs())
+
+    # Guards against the same with the limit of a client account.
+    def test_others_start_beside_a_gang_that_waits_for_a_limit(self) -> None:
+        small = self.start_small_gang_job(limit=1000 * WORKERS)
+        self.keep_running(0.2)
+        self.assertNotIn(small, self.list_started_jobs())
+        self.keep_running(RESERVE_S)
+        self.assertIn(small, self.list_started_jobs())
+
+    # Guards against small tasks that keep a gang from ever starting on busy workers.
+    def test_gang_reserves_without_a_pause_where_most_is_in_use(self) -> None:
+        for _ in range(WORKERS):
+            self.submit("small", replace(SMALL, size=Resources(600, 100)))
+        self.advance(0.2)
+        self.submit("small", GANG)
+        self.advance(0.2)
+        small = self.submit("small", LONG)
+        self.keep_running(2 * (RESERVE_S + YIELD_S))
+        self.assertNotIn(small, self.list_started_jobs())
+        self.assertEqual(len(self.planner.state.worker_by_id["w1"].task_by_id), 1)
+
     def test_reserved_capacity_is_released_after_each_scheduling_pass(self) -> None:
         self.submit("gangs", GANG)
         self.submit("gangs", GANG)
