Keep every record and append within what the store takes

Cause: one record holds all tasks of an occurrence, with checkpoints and crashes; a batch holds any number of records. The store refuses what is too large, and the planner appended it again for good.

Change: jobs of more than 2,000 tasks, or whose own record is too large, get 400 at once. A record that would outgrow the limit is stored without checkpoints, then without crashes. A batch is divided into several appends; once a part is stored it can't count as refused.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/intake.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/intake.py
@@ -7,6 +7,7 @@
 from .effects import Reply
 from .fleet import fits_when_empty
 from .jobs import FINAL_STATES, Job, JobState, TaskState
+from .records import MAX_VALUE_BYTES, encode_job
 from .retry_after import compute_retry_after_s
 
 if TYPE_CHECKING:
@@ -48,12 +49,14 @@
         if spec.queue not in state.queue_by_name:
             self._refuse_unknown_queue(event)
             return
+        job = Job(spec)
         problem = self._find_oversized_task(spec)
+        if not problem and len(encode_job(job).value) > MAX_VALUE_BYTES:
+            problem = "the job is too large to be stored"
         if problem:
             state.note("job_refused", job=spec.id, reason=problem)
             state.effects.append(Reply(event.call, BAD_REQUEST, problem))
             return
-        job = Job(spec)
         job.is_beyond_share = state.shares.is_beyond(
             spec.tenant, spec.received_ms, state.rules
         )
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/records.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/records.py
@@ -15,6 +15,10 @@
 FORMAT = 1
 """Version of the record format."""
 
+MAX_VALUE_BYTES = 250_000
+"""Maximum size of a value, below the limit of the store. The record of an occurrence
+with the most tasks keeps to it without checkpoints and crashes."""
+
 QUEUE_PREFIX = "queue:"
 """Prefix of the keys of queue records."""
 
@@ -113,10 +117,25 @@
 
 
 def encode_occurrence(occurrence: Occurrence) -> Record:
-    """Encode the tasks of an occurrence that were started or have failed."""
+    """Encode the tasks of an occurrence that were started or have failed.
+
+    A record that would be too large is encoded without checkpoints, and then without
+    crashes, so that the store still takes it: a successor repeats some work.
+    """
     key = f"{occurrence.job.spec.id}.{occurrence.index}"
     if occurrence.is_done:
         return Record(key, msgpack.packb([FORMAT, True]))
+    value = b""
+    for has_checkpoints, has_crashes in ((True, True), (False, True), (False, False)):
+        value = _encode_tasks(occurrence, has_checkpoints, has_crashes)
+        if len(value) <= MAX_VALUE_BYTES:
+            break
+    return Record(key, value)
+
+
+def _encode_tasks(
+    occurrence: Occurrence, has_checkpoints: bool, has_crashes: bool
+) -> bytes:
     steps: list[Any] = []
     crashes: list[Any] = []
     for step in occurrence.steps:
@@ -131,7 +150,7 @@
                 task.worker,
                 task.incarnation,
                 task.failures,
-                task.checkpoint,
+                task.checkpoint if has_checkpoints else "",
             ]
             for task in step.tasks
             if task.run or task.failures
@@ -147,9 +166,9 @@
             if task.crashes
         ]
     fields = [FORMAT, False, steps]
-    if crashes:
+    if crashes and has_crashes:
         fields.append(crashes)  # builds without this field ignore it
-    return Record(key, msgpack.packb(fields))
+    return bytes(msgpack.packb(fields))
 
 
 def encode_removal(key: str) -> Record:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/specs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/specs.py
@@ -105,8 +105,8 @@
 MAX_PAYLOAD_BYTES = 4000
 """Maximum size of a payload in bytes, set by the interface for callers."""
 
-MAX_TASKS = 20_000
-"""Maximum number of tasks in a job: a stored record of one occurrence holds no more."""
+MAX_TASKS = 2_000
+"""Maximum number of tasks in a job: the record of an occurrence holds no more."""
 
 MAX_AMOUNT = 1 << 40
 """Upper bound on the amount of a resource; larger values are rejected as invalid."""
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_runner.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_runner.py
@@ -27,12 +27,13 @@
 
 if TYPE_CHECKING:
     from collections import Counter
-    from collections.abc import Callable, Coroutine, Mapping
+    from collections.abc import Callable, Coroutine, Iterator, Mapping
     from typing import Any
 
     from jacinthloom_core.planner.effects import Effect
     from jacinthloom_core.planner.events import Event
     from jacinthloom_core.planner.fleet import WorkerEntry
+    from jacinthloom_core.planner.records import Record
 
     from ..metrics import LatencyHistogram
     from ..platform.log_store import LogStore
@@ -45,6 +46,13 @@
 """Seconds until a failed call to the store is retried."""
 
 
+MAX_REQUEST_BYTES = 2_000_000
+"""Maximum size of the records of one append, below the limit of the store."""
+
+RECORD_OVERHEAD_BYTES = 4
+"""Bytes that the store counts for each record beside its data."""
+
+
 class _AppendOutcome(Enum):
     """Outcome of appending a batch."""
 
@@ -295,10 +303,9 @@
 
     async def _append(self, store: effects.Store) -> None:
         began = time.perf_counter()
-        data = [encode_keyed(record) for record in store.records]
-        if data:
+        for number, part in enumerate(_split(store.records)):
             producer = Producer(topics.PRODUCER, self._term, self._appended_batches + 1)
-            outcome = await self._append_until_known(data, producer)
+            outcome = await self._append_until_known(part, producer, number > 0)
             if outcome is _AppendOutcome.REFUSED:
                 self._on_refused()
                 self.handle(events.BatchRefused(time.monotonic(), store.number))
@@ -309,9 +316,14 @@
         self.handle(events.BatchStored(time.monotonic(), store.number))
 
     async def _append_until_known(
-        self, data: list[bytes], producer: Producer
+        self, data: list[bytes], producer: Producer, is_partly_stored: bool
     ) -> _AppendOutcome:
-        is_outcome_unknown = False
+        """Append records until it is certain whether they are stored.
+
+        :param is_partly_stored: whether earlier records of the batch are stored, so that
+            it can't count as refused any more
+        """
+        is_outcome_unknown = is_partly_stored
         while not self.ended.is_set():
             try:
                 await self._store.append(topics.JOBS, data, producer=producer)
@@ -419,5 +431,20 @@
         )
 
 
+def _split(records: tuple[Record, ...]) -> Iterator[list[bytes]]:
+    """Yield the encoded records in order, as many at a time as one append takes."""
+    part: list[bytes] = []
+    size = 0
+    for record in records:
+        data = encode_keyed(record)
+        size += len(data) + RECORD_OVERHEAD_BYTES
+        if part and size > MAX_REQUEST_BYTES:
+            yield part
+            part, size = [], len(data) + RECORD_OVERHEAD_BYTES
+        part.append(data)
+    if part:
+        yield part
+
+
 def _wall_ms() -> int:
     return int(time.time() * 1000)
--- a/tests/test_planner_runner.py
+++ b/tests/test_planner_runner.py
@@ -15,6 +15,8 @@
 from jacinthloom_core.planner.specs import TaskId
 from jacinthloom_core.planner.state import PlannerSettings
 from jacinthloom_daemon.hosted.planner_runner import PlannerRunner
+from jacinthloom_daemon.metrics import LatencyHistogram
+from jacinthloom_daemon.platform.errors import UnavailableError
 
 TASK = TaskId("a" * 16, 0, 0, 0)
 
@@ -40,6 +42,21 @@
         raise ValueError("unexpected")
 
 
+class RecordingStore:
+    """A store that refuses some appends, by their number."""
+
+    def __init__(self) -> None:
+        self.stored: list[list[bytes]] = []
+        self.sequences: list[int] = []
+        self.refusals: set[int] = set()
+
+    async def append(self, topic: str, data: list[bytes], producer: Any) -> None:
+        self.sequences.append(producer.sequence)
+        if len(self.sequences) in self.refusals:
+            raise UnavailableError("refused", is_outcome_unknown=False)
+        self.stored.append(data)
+
+
 def make_entry(worker: str, address: str) -> WorkerEntry:
     return WorkerEntry(
         worker, "pool", address, "z", True, Resources(1000, 1000), frozenset(), "", 1
@@ -48,13 +65,14 @@
 
 class PlannerRunnerTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
+        self.refusals = 0
         self.runner = PlannerRunner(
             cast("Any", BrokenStore()),
             PlannerSettings(1, 6.0, 120.0),
             lambda request: None,
             lambda: True,
             cast("Any", None),
-            lambda: None,
+            self.count_refusal,
             Counter(),
         )
         self.state = self.runner._planner.state
@@ -62,6 +80,9 @@
         self.runner.handle(events.RulesChanged(0.0, Rules(1, {"q": queue})))
         self.addCleanup(self.runner.close)
 
+    def count_refusal(self) -> None:
+        self.refusals += 1
+
     async def wait_for_failures(self, count: int) -> None:
         async with asyncio.timeout(1):
             while self.runner.counters["worker_call_failed"] < count:
@@ -99,6 +120,23 @@
                 await self.wait_for_failures(number + 1)
         self.assertFalse(self.runner.ended.is_set())
 
+    # Guards against a batch that is larger than one append may be, and is refused for
+    # good; and against jobs that count as refused though their records are stored.
+    async def test_large_batch_is_stored_in_several_appends(self) -> None:
+        store = RecordingStore()
+        self.runner._store = cast("Any", store)
+        self.runner._append_latency = cast("Any", LatencyHistogram("n", "help"))
+        records = tuple(Record(f"k{n}", bytes(200_000)) for n in range(25))
+        store.refusals = {2}
+        self.runner._handler_by_type[effects.Store](effects.Store(1, records))
+        async with asyncio.timeout(2):
+            while sum(map(len, store.stored)) < len(records):
+                await asyncio.sleep(0.01)
+        self.assertEqual([len(part) for part in store.stored], [9, 9, 7])
+        self.assertEqual(store.sequences, [1, 2, 2, 3])
+        self.assertFalse(self.runner.ended.is_set())
+        self.assertEqual(self.refusals, 0)
+
     # Guards against a planner that waits without end for a batch whose append raised.
     async def test_term_ends_when_an_append_raises(self) -> None:
         store = effects.Store(1, (Record("k", b"v"),))
