Count a job as begun once a start of it is confirmed

Cause: a job counted as begun when its first start was sent, and stayed so when the order was lost with its worker or never answered. A new planner took every stored placement for a start.

Change: a job has begun once a worker confirms, lists or ends a run of it. From records, that is known of tasks that are done, have failed, saved a checkpoint, or have certainly crashed a worker.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
@@ -174,7 +174,7 @@
     :param outcome: final state, once decided
     :param is_stored: whether the record of the job is stored
     :param is_final_stored: whether the final state is stored
-    :param has_started: whether any task of it has been started
+    :param has_started: whether a worker has confirmed or listed a run of any task
     :param final_at: time at which the final state was decided
     :param is_beyond_share: whether its client account submitted more jobs than it is
         entitled to when the fleet is full
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/reconciler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/reconciler.py
@@ -252,6 +252,7 @@
             task.confirmed_at = now
             task.has_unknown_outcome = False
             self._state.unknown_start_by_id.pop(task.id, None)
+        task.step.occurrence.job.has_started = True
         task.incarnation = worker.incarnation
         if progress.checkpoint:
             task.checkpoint = progress.checkpoint
@@ -343,6 +344,7 @@
             return
         if outcome is StartOutcome.STARTED:
             task.state = TaskState.RUNNING
+            task.step.occurrence.job.has_started = True
             task.confirmed_at = event.now
             task.progress_at = event.now
             task.has_unknown_outcome = False
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/records.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/records.py
@@ -248,13 +248,14 @@
 def _decode_occurrence(job: Job, index: int, value: bytes) -> None:
     fields = msgpack.unpackb(value)
     occurrence = job.add_occurrence(index)
-    job.has_started = True
     if fields[1]:
+        job.has_started = True
         for step in occurrence.steps:
             step.done = step.spec.count
         return
     for step, stored in zip(occurrence.steps, fields[2], strict=True):
         if stored is True:
+            job.has_started = True
             step.done = step.spec.count
             for task in step.tasks:
                 task.state = TaskState.DONE
@@ -268,6 +269,8 @@
             task.incarnation = incarnation
             task.failures = failures
             task.checkpoint = checkpoint
+            # A placement alone does not show that its start has taken effect.
+            job.has_started |= bool(is_done or failures or checkpoint)
             if is_done:
                 task.state = TaskState.DONE
                 step.done += 1
@@ -277,3 +280,4 @@
     for number, position, crashes in fields[3] if len(fields) > 3 else ():
         task = occurrence.steps[number].tasks[position]
         task.crashes = [Crash(*crash) for crash in crashes]
+        job.has_started |= any(crash.is_certain for crash in task.crashes)
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/run_end_handler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/run_end_handler.py
@@ -46,6 +46,7 @@
         if task is None or task.run != run_end.run:
             return
         job = task.step.occurrence.job
+        job.has_started = True
         self._state.note(
             "run_ended",
             task=list(run_end.task),
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/start_dispatcher.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/start_dispatcher.py
@@ -99,7 +99,6 @@
         return ticket.text
 
     def _start(self, task: Task, now: float) -> None:
-        task.step.occurrence.job.has_started = True
         task.state = TaskState.STARTING
         task.placed_at = now
         task.is_resumed = bool(task.checkpoint)
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_runner.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_runner.py
@@ -320,8 +320,8 @@
     ) -> _AppendOutcome:
         """Append records until it is certain whether they are stored.
 
-        :param is_partly_stored: whether earlier records of the batch are stored, so that
-            it can't count as refused any more
+        :param is_partly_stored: whether earlier records of the batch are stored: it
+            can't count as refused any more
         """
         is_outcome_unknown = is_partly_stored
         while not self.ended.is_set():
