Open a limited number of due occurrences at a time

Cause: a caller may ask for any number of occurrences, all of them due: the planner would create them all at once, and so would every planner that loads the job (the "number too large" of the odd entries, in the body of a job).

Change: at most 200 unfinished occurrences of a job are open; further ones follow as these end.

Also moved, without a change of behaviour: the appends of a batch from the planner's runner to hosted/batch_appender.py, and the lists of a hold from the schemas to platform/run_lists.py.

Evidence: test_due_occurrences_are_opened_a_limited_number_at_a_time.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/intake.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/intake.py
@@ -22,6 +22,10 @@
 UNAVAILABLE = 503
 
 
+MAX_OPEN_OCCURRENCES = 200
+"""Maximum number of unfinished occurrences of a job: further ones are opened as earlier
+ones end, however many are due."""
+
 EARLY_START_S = 0.1
 """Seconds by which an occurrence may start early, well within the permitted bound."""
 
@@ -153,16 +157,20 @@
 
     def open_due_occurrences(self, job: Job, now: float) -> None:
         """Open the occurrences of a job that are due."""
-        spec = job.spec
-        before = job.next_occurrence
-        while job.next_occurrence < spec.occurrences:
-            due_ms = spec.first_due_ms + job.next_occurrence * spec.period_ms
-            if due_ms > self._state.wall_ms + EARLY_START_S * 1000:
-                break
+        if not self._is_next_due(job):
+            return
+        room = MAX_OPEN_OCCURRENCES - job.count_unfinished()
+        while room > 0 and self._is_next_due(job):
             self._open_next_occurrence(job)
-        if job.next_occurrence > before:
-            # Loaded occurrences may be done before they are due by this host's clock.
-            self.check_finished(job, now)
+            room -= 1
+        # Loaded occurrences may be done before they are due by this host's clock.
+        self.check_finished(job, now)
+
+    def _is_next_due(self, job: Job) -> bool:
+        spec, index = job.spec, job.next_occurrence
+        due_ms = spec.first_due_ms + index * spec.period_ms
+        latest_ms = self._state.wall_ms + EARLY_START_S * 1000
+        return index < spec.occurrences and due_ms <= latest_ms
 
     def _open_next_occurrence(self, job: Job) -> None:
         """Open the steps of the next occurrence, which may have been loaded."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
@@ -226,6 +226,10 @@
         self.occurrences[index] = occurrence
         return occurrence
 
+    def count_unfinished(self) -> int:
+        """Return how many occurrences were created and are not done."""
+        return sum(not occurrence.is_done for occurrence in self.occurrences.values())
+
     def tasks(self) -> Iterator[Task]:
         """Yield the tasks of all occurrences."""
         for occurrence in self.occurrences.values():
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_runner.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_runner.py
@@ -5,7 +5,6 @@
 import asyncio
 import itertools
 import time
-from enum import Enum
 from typing import TYPE_CHECKING
 
 from jacinthloom_core.planner import effects, events
@@ -17,23 +16,22 @@
 from ..platform.errors import (
     FencedError,
     PlatformError,
-    SequenceError,
     UnavailableError,
 )
-from ..platform.log_store import Producer, encode_keyed
+from ..platform.log_store import Producer
 from ..platform.worker_client import WorkerClient
 from . import log, messages
+from .batch_appender import RETRY_INTERVAL_S, AppendOutcome, BatchAppender
 from .feeds import WorkerFeed
 
 if TYPE_CHECKING:
     from collections import Counter
-    from collections.abc import Callable, Coroutine, Iterator, Mapping
+    from collections.abc import Callable, Coroutine, Mapping
     from typing import Any
 
     from jacinthloom_core.planner.effects import Effect
     from jacinthloom_core.planner.events import Event
     from jacinthloom_core.planner.fleet import WorkerEntry
-    from jacinthloom_core.planner.records import Record
 
     from ..metrics import LatencyHistogram
     from ..platform.log_store import LogStore
@@ -42,26 +40,6 @@
 """Duration of a worker's lease, in seconds, for which its runs continue without the
 planner: longer than an election and loading the records."""
 
-RETRY_INTERVAL_S = 0.1
-"""Seconds until a failed call to the store is retried."""
-
-
-MAX_REQUEST_BYTES = 2_000_000
-"""Maximum size of the records of one append, below the limit of the store."""
-
-RECORD_OVERHEAD_BYTES = 4
-"""Bytes that the store counts for each record beside its data."""
-
-
-class _AppendOutcome(Enum):
-    """Outcome of appending a batch."""
-
-    STORED = 1
-    REFUSED = 2
-    """It is certain that nothing was stored."""
-    ENDED = 3
-    """The term has ended."""
-
 
 class PlannerRunner:
     """The planner of one term, and its connections.
@@ -83,7 +61,6 @@
         ignored_records: Counter[str],
     ) -> None:
         self._ignored_records = ignored_records
-        self._append_latency = append_latency
         self._on_refused = on_refused
         self._store = store
         self._planner = Planner(settings)
@@ -92,9 +69,6 @@
         self._zones_out: frozenset[str] = frozenset()
         self._request_advice = request_advice
         self._has_authority = has_authority
-        self._appended_batches = 0
-        """Batches appended in this term, and the sequence number of the last one."""
-        self._failed_appends = 0
         self._calls = itertools.count(1)
         self._future_by_call: dict[int, asyncio.Future[effects.Reply]] = {}
         self._client_by_worker: dict[str, WorkerClient] = {}
@@ -102,6 +76,9 @@
         self._flush_timer: asyncio.TimerHandle | None = None
         self.is_ready = asyncio.Event()
         self.ended = asyncio.Event()
+        self._appender = BatchAppender(
+            store, settings.term, append_latency, self.ended.is_set, self.end
+        )
         self._handler_by_type: dict[type[Effect], Callable[..., None]] = {
             effects.Store: lambda e: self._spawn(self._append(e)),
             effects.Reply: self._resolve_call,
@@ -302,53 +279,12 @@
             self.end("a call raised an exception")
 
     async def _append(self, store: effects.Store) -> None:
-        began = time.perf_counter()
-        for number, part in enumerate(_split(store.records)):
-            producer = Producer(topics.PRODUCER, self._term, self._appended_batches + 1)
-            outcome = await self._append_until_known(part, producer, number > 0)
-            if outcome is _AppendOutcome.REFUSED:
-                self._on_refused()
-                self.handle(events.BatchRefused(time.monotonic(), store.number))
-            if outcome is not _AppendOutcome.STORED:
-                return
-            self._appended_batches += 1
-            self._append_latency.record(time.perf_counter() - began)
-        self.handle(events.BatchStored(time.monotonic(), store.number))
-
-    async def _append_until_known(
-        self, data: list[bytes], producer: Producer, is_partly_stored: bool
-    ) -> _AppendOutcome:
-        """Append records until it is certain whether they are stored.
-
-        :param is_partly_stored: whether earlier records of the batch are stored: it
-            can't count as refused any more
-        """
-        is_outcome_unknown = is_partly_stored
-        while not self.ended.is_set():
-            try:
-                await self._store.append(topics.JOBS, data, producer=producer)
-            except (FencedError, SequenceError) as error:
-                self.end(f"append refused: {error}")
-                return _AppendOutcome.ENDED
-            except UnavailableError as error:
-                self._set_store_writable(False, str(error))
-                is_outcome_unknown = is_outcome_unknown or error.is_outcome_unknown
-                if not is_outcome_unknown:
-                    return _AppendOutcome.REFUSED
-                await asyncio.sleep(RETRY_INTERVAL_S)
-            else:
-                self._set_store_writable(True)
-                return _AppendOutcome.STORED
-        return _AppendOutcome.ENDED
-
-    def _set_store_writable(self, is_writable: bool, reason: str = "") -> None:
-        if is_writable and self._failed_appends:
-            log.write(
-                "append_recovered", term=self._term, failures=self._failed_appends
-            )
-        if not is_writable and not self._failed_appends:
-            log.write("append_failed", term=self._term, reason=reason)
-        self._failed_appends = 0 if is_writable else self._failed_appends + 1
+        outcome = await self._appender.append(store.records)
+        if outcome is AppendOutcome.STORED:
+            self.handle(events.BatchStored(time.monotonic(), store.number))
+        elif outcome is AppendOutcome.REFUSED:
+            self._on_refused()
+            self.handle(events.BatchRefused(time.monotonic(), store.number))
 
     def _find_client(self, worker: str, address: str) -> WorkerClient:
         client = self._client_by_worker.get(worker)
@@ -431,20 +367,5 @@
         )
 
 
-def _split(records: tuple[Record, ...]) -> Iterator[list[bytes]]:
-    """Yield the encoded records in order, as many at a time as one append takes."""
-    part: list[bytes] = []
-    size = 0
-    for record in records:
-        data = encode_keyed(record)
-        size += len(data) + RECORD_OVERHEAD_BYTES
-        if part and size > MAX_REQUEST_BYTES:
-            yield part
-            part, size = [], len(data) + RECORD_OVERHEAD_BYTES
-        part.append(data)
-    if part:
-        yield part
-
-
 def _wall_ms() -> int:
     return int(time.time() * 1000)
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/schemas.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/schemas.py
@@ -7,11 +7,10 @@
 
 import ipaddress
 import math
-from typing import TYPE_CHECKING, Annotated, Any, Literal, TypeVar
+from typing import Annotated, Any, Literal, TypeVar
 
 import msgspec
 from jacinthloom_core.model.resources import Resources
-from jacinthloom_core.planner.events import EndKind, RunEnd, RunProgress
 from jacinthloom_core.planner.fleet import WorkerEntry
 from jacinthloom_core.planner.rules import AdvicePolicy, ClientAccount, Queue, Rules
 from jacinthloom_core.planner.specs import (
@@ -26,10 +25,6 @@
 
 from .errors import InvalidDataError
 
-if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
-
-
 Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 """A count or a time in milliseconds."""
 
@@ -264,67 +259,6 @@
     reason: str = ""
 
 
-class HoldResponseBody(msgspec.Struct):
-    """A worker's response to a hold request."""
-
-    clockMs: Number  # noqa: N815
-    running: list[Any] = []
-    endedRuns: list[Any] = []  # noqa: N815
-    born: Number = 1
-
-    def to_running(self) -> tuple[RunProgress, ...]:
-        """Return the running tasks; rows that can't be read are left out."""
-        return tuple(_parse_rows(self.running, _parse_progress))
-
-    def to_ends(self) -> tuple[RunEnd, ...]:
-        """Return the ended runs by number; rows that can't be read are left out."""
-        rows = _parse_rows(self.endedRuns, _parse_end)
-        return tuple(sorted(rows, key=lambda row: row.number))
-
-
-_Row = TypeVar("_Row")
-
-
-def _parse_rows(rows: list[Any], parse: Callable[[Any], _Row]) -> Iterator[_Row]:
-    for row in rows:
-        try:
-            yield parse(row)
-        except (InvalidDataError, ValueError, TypeError, OverflowError):
-            continue
-
-
-def _parse_progress(row: Any) -> RunProgress:
-    name, run, checkpoint, percent, *rest = row
-    measurement = float(rest[0]) if rest else 0.0
-    task = parse_task(name)
-    _check_run(run, checkpoint)
-    return RunProgress(task, run, checkpoint, int(percent), measurement)
-
-
-def _parse_end(row: Any) -> RunEnd:
-    number, name, run, kind, checkpoint, *_ = row
-    task = parse_task(name)
-    _check_run(run, checkpoint)
-    _check_run(number, "")
-    return RunEnd(
-        number, task, run, _END_KIND_BY_NAME.get(kind, EndKind.OTHER), checkpoint
-    )
-
-
-def _check_run(number: Any, checkpoint: Any) -> None:
-    """Check the number of a run or an end, and a checkpoint.
-
-    :raises InvalidDataError: if one of them has another type, or is out of range
-    """
-    is_number = isinstance(number, int) and 0 <= number <= MAX_NUMBER
-    if not is_number or not isinstance(checkpoint, str):
-        raise InvalidDataError("a row of a list has fields of another type")
-
-
-_END_KIND_BY_NAME = {kind.value: kind for kind in EndKind}
-"""Kind of end by the name that workers use."""
-
-
 class AdviceResponseBody(msgspec.Struct):
     """Response of the advice service."""
 
@@ -371,7 +305,7 @@
 
     :raises InvalidDataError: if it does not match the schema
     """
-    decoded = _decode(body, JobBody)
+    decoded = decode_body(body, JobBody)
     return JobSpec(
         id=job,
         queue=queue,
@@ -390,7 +324,7 @@
 
     :raises InvalidDataError: if it does not match the schema
     """
-    return _decode(body, ConfigurationBody).to_rules()
+    return decode_body(body, ConfigurationBody).to_rules()
 
 
 def decode_worker(worker: str, body: bytes) -> WorkerEntry:
@@ -398,15 +332,7 @@
 
     :raises InvalidDataError: if it does not match the schema or lacks a field
     """
-    return _decode(body, WorkerBody).to_entry(worker)
-
-
-def decode_hold(body: bytes) -> HoldResponseBody:
-    """Decode a worker's response to a hold request.
-
-    :raises InvalidDataError: if it does not match the schema
-    """
-    return _decode(body, HoldResponseBody)
+    return decode_body(body, WorkerBody).to_entry(worker)
 
 
 def decode_order_response(body: bytes) -> OrderResponseBody:
@@ -414,7 +340,7 @@
 
     :raises InvalidDataError: if it does not match the schema
     """
-    return _decode(body, OrderResponseBody) if body else OrderResponseBody()
+    return decode_body(body, OrderResponseBody) if body else OrderResponseBody()
 
 
 def decode_advice(body: bytes) -> AdviceResponseBody:
@@ -422,13 +348,17 @@
 
     :raises InvalidDataError: if it does not match the schema
     """
-    return _decode(body, AdviceResponseBody)
+    return decode_body(body, AdviceResponseBody)
 
 
 _Body = TypeVar("_Body")
 
 
-def _decode(body: bytes, body_type: type[_Body]) -> _Body:
+def decode_body(body: bytes, body_type: type[_Body]) -> _Body:
+    """Decode a JSON body.
+
+    :raises InvalidDataError: if it does not match the type
+    """
     try:
         return msgspec.json.decode(body, type=body_type)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/worker_client.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/worker_client.py
@@ -11,7 +11,8 @@
 from jacinthloom_wire.http_client import HttpClient
 
 from .errors import FencedError, InvalidDataError, UnavailableError
-from .schemas import decode_hold, decode_order_response, format_task
+from .run_lists import decode_hold
+from .schemas import decode_order_response, format_task
 
 if TYPE_CHECKING:
     from jacinthloom_core.planner.effects import PollWorker, Start, Stop, Throttle
--- a/tests/planner/test_occurrences.py
+++ b/tests/planner/test_occurrences.py
@@ -7,6 +7,7 @@
 
 from jacinthloom_core.model.resources import Resources
 from jacinthloom_core.planner import effects, events
+from jacinthloom_core.planner.intake import MAX_OPEN_OCCURRENCES
 from jacinthloom_core.planner.jobs import TaskState
 from jacinthloom_core.planner.planner import Planner
 from jacinthloom_core.planner.specs import StepSpec, TaskId
@@ -109,6 +110,19 @@
         second.handle(events.Tick(2.0, 2_000))
         self.assertIsNotNone(job.outcome)
 
+    # Guards against a job with more due occurrences than a planner can hold: it would
+    # stop every planner that loads it.
+    def test_due_occurrences_are_opened_a_limited_number_at_a_time(self) -> None:
+        planner = make_planner(1, self.store, 0.0)
+        answer_poll(planner, 0.1)
+        endless = replace(TIMED, period_ms=0, occurrences=1 << 40)
+        self.apply(planner, events.JobSubmitted(0.2, 1, endless), 0.2)
+        job = planner.state.job_by_id[endless.id]
+        self.assertEqual(len(job.occurrences), MAX_OPEN_OCCURRENCES)
+        self.end_runs(planner, 0.5)
+        self.apply(planner, events.Tick(0.6, 600), 0.6)
+        self.assertEqual(len(job.occurrences), MAX_OPEN_OCCURRENCES + 1)
+
     # Guards against occurrences that are lost, repeated or started early in any order
     # of takeovers, appends and ends that the simulation draws.
     def test_invariants_hold_for_scheduled_jobs(self) -> None:
--- a/tests/platform_adapter/test_schemas.py
+++ b/tests/platform_adapter/test_schemas.py
@@ -10,8 +10,8 @@
 from jacinthloom_daemon.platform.errors import InvalidDataError, SettingsError
 from jacinthloom_daemon.platform.log_store import decode_keyed
 from jacinthloom_daemon.platform.node_settings import NodeSettings
+from jacinthloom_daemon.platform.run_lists import decode_hold
 from jacinthloom_daemon.platform.schemas import (
-    decode_hold,
     decode_job,
     decode_rules,
     decode_worker,
--- a/tests/test_planner_runner.py
+++ b/tests/test_planner_runner.py
@@ -71,7 +71,7 @@
             PlannerSettings(1, 6.0, 120.0),
             lambda request: None,
             lambda: True,
-            cast("Any", None),
+            LatencyHistogram("append_seconds", "help"),
             self.count_refusal,
             Counter(),
         )
@@ -124,8 +124,7 @@
     # good; and against jobs that count as refused though their records are stored.
     async def test_large_batch_is_stored_in_several_appends(self) -> None:
         store = RecordingStore()
-        self.runner._store = cast("Any", store)
-        self.runner._append_latency = cast("Any", LatencyHistogram("n", "help"))
+        self.runner._appender._store = cast("Any", store)
         records = tuple(Record(f"k{n}", bytes(200_000)) for n in range(25))
         store.refusals = {2}
         self.runner._handler_by_type[effects.Store](effects.Store(1, records))
