Move the responses to orders out of the reconciler

What follows from a worker's answer to a start or a stop is in planner/order_responses.py now. No change of behaviour; a mutation of the tests follows the new place.

Evidence: the planner's tests and its mutations pass.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
@@ -10,6 +10,7 @@
 from .intake import OK, Intake
 from .jobs import TaskState
 from .order import LatestStartOrder
+from .order_responses import OrderResponseHandler
 from .reconciler import RunReconciler
 from .records import QUEUE_PREFIX, load_jobs, load_queues
 from .scheduler import Scheduler
@@ -65,6 +66,7 @@
         self.state = state
         self._intake = Intake(state)
         self._reconciler = RunReconciler(state, self._intake)
+        self._order_responses = OrderResponseHandler(state)
         self._scheduler = Scheduler(state, make_order(state.run_times))
         self._start_dispatcher = StartDispatcher(state)
         self._pass_due = 0.0
@@ -81,8 +83,8 @@
             events.WorkerUnlisted: lambda e: self._reconciler.on_unlisted(e.worker),
             events.WorkerPolled: self._reconciler.on_worker_polled,
             events.WorkerPollFailed: self._reconciler.on_worker_poll_failed,
-            events.StartAnswered: self._reconciler.on_start_answered,
-            events.StopAnswered: self._reconciler.on_stop_answered,
+            events.StartAnswered: self._order_responses.on_start_answered,
+            events.StopAnswered: self._order_responses.on_stop_answered,
             events.AdviceGiven: self._on_advice,
             events.AdviceFailed: self._on_advice_failed,
             events.MemberJoined: lambda e: state.advice_requests.add_member(
--- a/testkit/planning/mutations.py
+++ b/testkit/planning/mutations.py
@@ -89,7 +89,7 @@
 
 def _unknown_start_placed_again(planner: Any) -> None:
     """Treat a start whose outcome is unknown as one that was refused."""
-    on_start_answered = planner._reconciler.on_start_answered
+    on_start_answered = planner._order_responses.on_start_answered
 
     def handle_as_refused(event: Any) -> None:
         worker = planner.state.worker_by_id[event.worker]
