--- a/testkit/soak/faults.py
+++ b/testkit/soak/faults.py
@@ -58,6 +58,7 @@
             "terminate": self._terminate,
             "herd_kill": self._herd_kill,
             "store_down": self._take_store_down,
+            "kill_at_recovery": self._kill_at_recovery,
             "store_slow": self._slow_store,
             "store_silent": self._silence_store,
             "store_reset": self._reset_store,
@@ -172,6 +173,12 @@
     async def _take_store_down(self) -> None:
         await self._disturb_store("is_down", True, False)
 
+    async def _kill_at_recovery(self) -> None:
+        """Kill the planner between the first appends after an outage."""
+        await self._take_store_down()
+        await asyncio.sleep(self._random.uniform(0.0, 0.3))
+        await self._kill_planner()
+
     async def _slow_store(self) -> None:
         await self._disturb_store("latency_s", self._random.uniform(0.05, 0.25), 0.0)
 
