Reload a topic whose records were deleted during a read

Cause: a configuration was written, and its record deleted, while a read waited for it. The answer had no record and a first offset behind the position, and the position moved there: the configuration was skipped, and the process went by the one before it until the next was written.

Change: a read whose answer begins behind its position is a truncated read, after which the newest records are loaded.

Evidence: test_record_that_is_deleted_during_a_read_is_missed_visibly failed before.

--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/log_store.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/log_store.py
@@ -275,6 +275,9 @@
             is_outcome_unknown=False,
         )
     end, first = struct.unpack_from(">QQ", body)
+    if first > start:
+        # Deleted while the read waited for a record: what is missing can't be read.
+        raise TruncatedError(first)
     records = []
     position = 16
     while position < len(body):
@@ -288,4 +291,4 @@
         raise UnavailableError(
             "a read response ends within its first record", is_outcome_unknown=False
         )
-    return ReadRecords(max(start, first) if not records else start, tuple(records), end)
+    return ReadRecords(start, tuple(records), end)
--- a/tests/platform_adapter/test_log_store.py
+++ b/tests/platform_adapter/test_log_store.py
@@ -7,7 +7,7 @@
 import struct
 import unittest
 
-from jacinthloom_daemon.platform.errors import UnavailableError
+from jacinthloom_daemon.platform.errors import TruncatedError, UnavailableError
 from jacinthloom_daemon.platform.log_store import LogStore
 from jacinthloom_wire.http_server import HttpServer, Request, ServerResponse
 
@@ -77,6 +77,16 @@
         self.pages.append((200, whole))
         self.assertEqual((await self.store.read("keyed.op", 7)).next_offset, 9)
 
+    # Guards against a change that is skipped, since it was written and deleted while a
+    # read waited for it: a process would go by the configuration before it.
+    async def test_record_that_is_deleted_during_a_read_is_missed_visibly(self) -> None:
+        later = struct.pack(">I", 5) + b"later"
+        for records in (b"", later):
+            self.pages.append((200, struct.pack(">QQ", 9, 8) + records))
+            with self.assertRaises(TruncatedError) as caught:
+                await self.store.read("keyed.op", 7)
+            self.assertEqual(caught.exception.first, 8)
+
     # Guards against an append that counts as certainly not stored though an
     # intermediary answered in place of the store.
     async def test_outcome_of_an_append_is_known_only_from_the_store(self) -> None:
