--- a/testkit/soak/faults.py
+++ b/testkit/soak/faults.py
@@ -198,17 +198,24 @@
 
     async def _cut_answers(self) -> None:
         """Answer every process with half an answer, then refuse calls for a while."""
-        self._observations.disturb(STORE, 0.5)
+        duration_s = self._random.uniform(0.0, 0.5)
+        self._observations.disturb(STORE, duration_s)
         for proxy in self._deployment.store_proxy_by_ip.values():
             proxy.answers_to_cut = self._random.randint(1, 4)
-        await asyncio.sleep(self._random.uniform(0.0, 0.5))
+        await asyncio.sleep(duration_s)
+        for proxy in self._deployment.store_proxy_by_ip.values():
+            proxy.answers_to_cut = 0
         if self._random.random() < 0.6:
             await self._take_store_down()
 
     async def _drop_answers(self) -> None:
-        self._observations.disturb(STORE, 2.0)
+        duration_s = self._random.uniform(0.5, 2.0)
+        self._observations.disturb(STORE, duration_s)
         for proxy in self._deployment.store_proxy_by_ip.values():
             proxy.answers_to_drop = self._random.randint(1, 3)
+        await asyncio.sleep(duration_s)
+        for proxy in self._deployment.store_proxy_by_ip.values():
+            proxy.answers_to_drop = 0
 
     async def _truncate_topics(self) -> None:
         for topic in ("keyed.op", "keyed.servers"):
