--- a/tests/planner/test_odd_entries.py
+++ b/tests/planner/test_odd_entries.py
@@ -14,18 +14,18 @@
 from jacinthloom_daemon.platform.errors import InvalidDataError
 from jacinthloom_daemon.platform.schemas import decode_worker
 
-from .test_takeover import ENTRY, JOB, Store, answer_poll, find_starts, make_planner
-from .test_takeover import store_batches as store_all
-
-VALID: dict[str, Any] = {
-    "service": "service",
-    "address": "10.0.0.9:8080",
-    "zone": "z",
-    "state": "ready",
-    "capacity": {"cpu": 16000, "memMb": 32768, "gpu": 0},
-    "labels": ["a", "r1-3"],
-    "born": 1_700_000_000_000,
-}
+from ..platform_adapter.test_schemas import WORKER
+from .test_takeover import (
+    ENTRY,
+    JOB,
+    Store,
+    answer_poll,
+    find_starts,
+    make_planner,
+    store_batches,
+)
+
+VALID: dict[str, Any] = WORKER | {"service": "service"}
 
 NUMBERS = st.one_of(
     st.integers(),
@@ -124,7 +124,7 @@
 
     def start_job(self, planner: Planner) -> list[str]:
         emitted = planner.handle(events.JobSubmitted(0.2, 1, JOB))
-        starts = find_starts(store_all(planner, Store(), emitted, 0.3))
+        starts = find_starts(store_batches(planner, Store(), emitted, 0.3))
         return [start.worker for start in starts]
 
     # Guards against calls to whatever another writer has listed for its own purposes.
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -28,6 +28,12 @@
         kinds = ("changes_at_takeover", "quiet")
         await self.run_seed(SoakSettings(11, 3, 8, SECONDS, 1, 6, kinds=kinds))
 
+    # Guards against tasks that run again after an outage, and a configuration that is
+    # skipped since its record was deleted: what the operators of real processes saw.
+    async def test_rules_hold_beside_outages_and_deleted_records(self) -> None:
+        kinds = ("kill_at_recovery", "truncated")
+        await self.run_seed(SoakSettings(604, 4, 12, SECONDS, 2, 10, kinds=kinds))
+
 
 if __name__ == "__main__":
     unittest.main()
