Count a route as not served after three refusals in a row

One failure was a check of the new soak that asked more than the users' pages: a single 503 to a route that had just been added, in a calm second. PROTOCOL.md allows a 503 ("the job was not accepted and never runs"), and the rule CONFIG names 401, 403 and 404.

--- a/testkit/soak/checks.py
+++ b/testkit/soak/checks.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from typing import TYPE_CHECKING
 
 from .observations import STORE
@@ -20,6 +20,10 @@
 """Seconds after a call was handled by a configuration for which others may still be
 handled by an older one."""
 
+UNSERVED_REFUSALS = 3
+"""Calm calls in a row that are refused with 503, from which a route that is in force
+counts as not served: one may meet an election."""
+
 EVACUATE_S = 5.0
 CANCEL_S = 3.0
 VISIBLE_S = 3.0
@@ -165,11 +169,16 @@
     """Check that processes handle calls by a configuration that may be in force."""
     violations = []
     newest_shown: dict[tuple[str, int], list[tuple[int, float]]] = defaultdict(list)
+    refusals: Counter[int] = Counter()
     for probe in sorted(observations.probes, key=lambda probe: probe.sent_at):
+        if probe.status == 200:
+            refusals[probe.route] = 0
         if probe.status == 503 and _is_unserved(probe, observations):
-            violations.append(
-                f"CONFIG (not served): {_describe_probe(probe, observations, 0)}"
-            )
+            refusals[probe.route] += 1
+            if refusals[probe.route] == UNSERVED_REFUSALS:
+                violations.append(
+                    f"CONFIG (not served): {_describe_probe(probe, observations, 0)}"
+                )
         if probe.status not in (200, 401, 404):
             continue
         known = [v for v in observations.versions if v.sent_at <= probe.answered_at]
