Log when a planner loses its authority, and the leases it renews without

The logs could not tell a planner that renews leases after its successor's claim from a successor that waits too short: renewals left no line. Change: lines no_authority, authority_regained and leases_at_end, and two counters. No decision is changed.

--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_runner.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_runner.py
@@ -74,6 +74,7 @@
         self._client_by_worker: dict[str, WorkerClient] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._flush_timer: asyncio.TimerHandle | None = None
+        self._had_authority = True
         self.is_ready = asyncio.Event()
         self.ended = asyncio.Event()
         self._appender = BatchAppender(
@@ -115,9 +116,28 @@
         self.is_ready.set()
         log.write("planner_ready", term=self._term, records=len(records))
         while not self.ended.is_set():
+            self._note_authority()
             self.handle(events.Tick(time.monotonic(), _wall_ms()))
             await asyncio.sleep(TICK_S)
 
+    def _note_authority(self) -> None:
+        """Log that authority was lost or regained."""
+        has_authority = self._has_authority()
+        if has_authority != self._had_authority:
+            self._had_authority = has_authority
+            self._log_authority(
+                "authority_regained" if has_authority else "no_authority"
+            )
+
+    def _log_authority(self, event: str) -> None:
+        counters = self._planner.state.counters
+        log.write(
+            event,
+            term=self._term,
+            leases_renewed=counters["lease_renewed"],
+            without_authority=counters["lease_renewed_without_authority"],
+        )
+
     async def _load(self) -> dict[str, bytes]:
         """Fence the planners of earlier terms, then read the job records."""
         while not self.ended.is_set():
@@ -136,6 +156,7 @@
         if self.ended.is_set():
             return
         log.write("planner_ended", term=self._term, reason=reason)
+        self._log_authority("leases_at_end")
         self.ended.set()
 
     def close(self) -> None:
@@ -339,6 +360,10 @@
 
     async def _poll_worker(self, poll: effects.PollWorker) -> None:
         sent_at = time.monotonic()
+        if poll.deadline_ms:
+            counters = self._planner.state.counters
+            counters["lease_renewed"] += 1
+            counters["lease_renewed_without_authority"] += not self._has_authority()
         try:
             client = self._find_client(poll.worker, poll.address)
             response = await client.hold(poll)
