Simulate zones that are cut off, with two planners alive at once

Cause that the simulation could not draw it: an earlier planner was killed within 2 s of an election, and a worker that was cut off was cut off from every planner. Both are assumptions that the fault breaks.

Change: Scenario.zone_cuts cuts off a zone for 1 to 30 s. Planners on either side reach only their workers, apart from common ones that are drawn; the store is on the other side of the zone, except in a tenth of the cuts. Elections follow the log: a member claims after 1.1 s without a renewal that it could read. An earlier planner lives on until an append or a worker fences it, or for up to 1 s after it reaches the store again. Drawn besides: the cut planner frozen and woken, its successor killed, cuts in a row, late orders across the cut, calls of clients that reach the earlier planner, entries that expire, lost answers to appends. Scenario.store_outages takes the store down for all for 6 to 25 s. World.compute_lease_authority says until when a planner has authority over leases; nothing uses it yet.

--- a/testkit/planning/worker.py
+++ b/testkit/planning/worker.py
@@ -35,6 +35,11 @@
 DEADLY_PAYLOAD = "deadly"
 """Payload of jobs whose first task in each step crashes the workers that start it."""
 
+LONG_PAYLOAD = "long"
+"""Payload of jobs whose tasks run ``LONG_RUN_FACTOR`` times as long."""
+
+LONG_RUN_FACTOR = 8
+
 
 @dataclass(slots=True)
 class _Run:
@@ -210,6 +215,8 @@
         run.is_working = True
         run.work_began_at = self._clock.now
         duration_s = self._random.uniform(0.2, 3.0)
+        if self._checker.job_by_id[task.job].payload == LONG_PAYLOAD:
+            duration_s *= LONG_RUN_FACTOR
         run.duration_s = duration_s
         is_poisoned = "poison" in self._checker.job_by_id[task.job].payload
         fails = self.fails_all or is_poisoned or self._random.random() < 0.02
--- a/testkit/planning/world.py
+++ b/testkit/planning/world.py
@@ -10,6 +10,7 @@
 
 from jacinthloom_core.model.resources import Resources
 from jacinthloom_core.planner import effects, events
+from jacinthloom_core.planner.election import AUTHORITY_S
 from jacinthloom_core.planner.events import StartOutcome
 from jacinthloom_core.planner.fleet import WorkerEntry
 from jacinthloom_core.planner.planner import TICK_S, Planner
@@ -19,7 +20,8 @@
 
 from .clock import VirtualClock
 from .rule_checker import RuleChecker
-from .worker import DEADLY_PAYLOAD, GangRegistry, VirtualWorker
+from .worker import DEADLY_PAYLOAD, LONG_PAYLOAD, GangRegistry, VirtualWorker
+from .zone_cuts import ZoneCuts
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -32,7 +34,6 @@
 FAULTS_END_S = 25.0
 """Virtual time up to which jobs arrive and faults occur."""
 SCENARIO_END_S = 90.0
-"""Virtual time by which every accepted job must have ended."""
 MAX_ATTEMPTS = 2
 CLIENT_ACCOUNT_LIMIT = 3_000
 """Limit of each client account, in millicores."""
@@ -66,6 +67,11 @@
     :param evacuations: number of times that an availability zone is taken out of
         service for a while
     :param drains: number of times that a worker drains for a while
+    :param zone_cuts: number of times that an availability zone is cut off for a while;
+        elections then follow the election log
+    :param store_outages: number of times that the store is down for 6 to 25 seconds
+    :param long: share of jobs with tasks that run for up to 24 seconds
+    :param end_s: virtual time by which every accepted job must have ended
     """
 
     seed: int
@@ -82,6 +88,10 @@
     ends_per_list: int = 500
     evacuations: int = 0
     drains: int = 0
+    zone_cuts: int = 0
+    store_outages: int = 0
+    long: float = 0.0
+    end_s: float = SCENARIO_END_S
 
 
 class VirtualStore:
@@ -109,11 +119,22 @@
 
 
 class PlannerProcess:
-    """The process of a planner in one term."""
+    """The process of a planner in one term.
 
-    def __init__(self, world: World, term: int, load: bool = True) -> None:
+    :ivar renewed_at: time at which it has sent the last renewal of its claim that was
+        stored
+    :ivar yielded_until: time until which it relies on members that can't read the
+        election log
+    """
+
+    def __init__(
+        self, world: World, term: int, load: bool = True, zone: str = ZONES[0]
+    ) -> None:
         self._world = world
         self.term = term
+        self.zone = zone
+        self.renewed_at = world.clock.now
+        self.yielded_until = float("-inf")
         self.is_alive = True
         self.is_frozen = False
         self.has_authority = True
@@ -151,6 +172,7 @@
 
     def _tick(self) -> None:
         now = self._world.clock.now
+        self._world.zone_cuts.renew(self)
         self.handle(events.Tick(now, int(now * 1000)))
         if self.is_alive:
             self._world.clock.after(TICK_S, lambda: self.run(self._tick))
@@ -186,6 +208,8 @@
         self._shrink_random = Random(f"shrink {scenario.seed}")
         self._timed_random = Random(f"timed {scenario.seed}")
         self._change_random = Random(f"change {scenario.seed}")
+        self._outage_random = Random(f"outage {scenario.seed}")
+        self.zone_cuts = ZoneCuts(self, scenario.seed, ZONES, scenario.zone_cuts)
         self.zones_out: set[str] = set()
         self._draining_workers: set[str] = set()
         self.scenario = scenario
@@ -261,8 +285,12 @@
         for _ in range(self.scenario.drains):
             delay_s = self._change_random.uniform(1, FAULTS_END_S)
             self.clock.after(delay_s, self._drain_random_worker)
+        for _ in range(self.scenario.store_outages):
+            delay_s = self._outage_random.uniform(1, FAULTS_END_S)
+            self.clock.after(delay_s, self._begin_outage)
+        self.zone_cuts.schedule(FAULTS_END_S)
         self._enforce_leases()
-        self.clock.run_until(SCENARIO_END_S)
+        self.clock.run_until(self.scenario.end_s)
         self._check_final_states()
 
     def _check_final_states(self) -> None:
@@ -279,7 +307,7 @@
             payload = self.checker.job_by_id[job].payload
             if payload == DEADLY_PAYLOAD and state == "completed":
                 raise AssertionError(f"{job} is completed, but can't be done")
-            if state == "failed" and payload == "text":
+            if state == "failed" and payload in ("text", LONG_PAYLOAD):
                 counts = self.checker.max_failures_by_step
                 max_failures = max(
                     (count for step, count in counts.items() if step.job == job),
@@ -298,11 +326,26 @@
         self.clock.after(0.05, self._enforce_leases)
 
     def _elect_planner(self) -> None:
-        self._term += 1
         previous = self.current_process
+        if previous is not None and self.zone_cuts.is_enabled:
+            return
         if previous is not None and previous.is_alive and not previous.is_frozen:
             self.clock.after(self.random.uniform(0, 2), lambda: _kill_process(previous))
-        self.current_process = PlannerProcess(self, self._term)
+        self.elect(ZONES[0])
+
+    def elect(self, zone: str) -> None:
+        """Start the planner of the next term in an availability zone."""
+        self._term += 1
+        self.current_process = PlannerProcess(self, self._term, zone=zone)
+        self.zone_cuts.add_process(self.current_process)
+
+    def compute_lease_authority(self, process: PlannerProcess) -> float:
+        """Return the time until which a planner has authority over leases.
+
+        No other planner takes leases as expired before. While the store is away for
+        all, and no member is cut off, the time moves on.
+        """
+        return max(process.renewed_at + AUTHORITY_S, process.yielded_until)
 
     def _submit_random_job(self) -> None:
         job = f"{self.random.getrandbits(64):016x}"
@@ -311,6 +354,8 @@
         payload = "poison" if self.random.random() < 0.1 else "text"
         if self._deadly_random.random() < self.scenario.deadly:
             payload = DEADLY_PAYLOAD
+        if payload == "text" and self._outage_random.random() < self.scenario.long:
+            payload = LONG_PAYLOAD
         client_account = f"t{self.random.randrange(3)}"
         queue = self.random.choice(("fast", "slow", "advised"))
         spec = JobSpec(
@@ -366,7 +411,7 @@
     def _call(
         self, kind: str, job: str, make_event: Callable[[int, float], events.Event]
     ) -> None:
-        process = self.current_process
+        process = self.zone_cuts.choose_called()
         if process is None:
             return
         self._call_count += 1
@@ -391,7 +436,8 @@
             self.clock.after(self.random.uniform(0.5, 3), self._elect_planner)
         elif fault in ("crash", "reborn") and worker.is_up:
             worker.crash()
-            self._report_unlisted(worker)
+            if process is not None and self.random.random() < 0.5:
+                self.report_unlisted(worker)
             delay = 0.2 if fault == "reborn" else duration_s
             self.clock.after(delay, lambda: self._restart(worker))
         elif fault == "cut":
@@ -450,21 +496,22 @@
         self._draining_workers.add(worker.id)
         self.checker.draining_since[worker.id] = self.clock.now
         delay_s = self._change_random.uniform(0, MAX_CHANGE_DELAY_S)
-        self.clock.after(delay_s, lambda: self._report_listed(worker))
+        self.clock.after(delay_s, lambda: self.report_listed(worker))
         duration_s = self._change_random.uniform(6, 15)
         self.clock.after(duration_s, lambda: self._end_drain(worker))
 
     def _end_drain(self, worker: VirtualWorker) -> None:
         self._draining_workers.discard(worker.id)
         self.checker.draining_since.pop(worker.id, None)
-        self._report_listed(worker)
+        self.report_listed(worker)
 
     def _set_capacity(self, worker: VirtualWorker, capacity: Resources) -> None:
         worker.capacity = capacity
         delay_s = self._shrink_random.uniform(0, HEARTBEAT_INTERVAL_S)
-        self.clock.after(delay_s, lambda: self._report_listed(worker))
+        self.clock.after(delay_s, lambda: self.report_listed(worker))
 
-    def _report_listed(self, worker: VirtualWorker) -> None:
+    def report_listed(self, worker: VirtualWorker) -> None:
+        """Show the planner the entry of a worker that is up."""
         process = self.current_process
         if process is not None and worker.is_up and worker.id in self.workers:
             event = events.WorkerListed(self.clock.now, self.make_entry(worker))
@@ -513,6 +560,11 @@
     def _find_worker(self, name: str) -> VirtualWorker:
         return self.workers.get(name) or self._gone_workers[name]
 
+    def _begin_outage(self) -> None:
+        self.store.is_down = True
+        self.store.refuses_batches = self._outage_random.random() < 0.5
+        self.clock.after(self._outage_random.uniform(6, 25), self._restore_store)
+
     def _restore_store(self) -> None:
         self.store.is_down = False
         self.store.latency_factor = 1.0
@@ -524,9 +576,10 @@
             event = events.WorkerListed(self.clock.now, self.make_entry(worker))
             process.run(lambda: process.handle(event))
 
-    def _report_unlisted(self, worker: VirtualWorker) -> None:
+    def report_unlisted(self, worker: VirtualWorker) -> None:
+        """Show the planner that the entry of a worker is gone."""
         process = self.current_process
-        if process is not None and self.random.random() < 0.5:
+        if process is not None:
             event = events.WorkerUnlisted(self.clock.now, worker.id)
             process.run(lambda: process.handle(event))
 
@@ -555,6 +608,9 @@
         def arrive() -> None:
             if not process.is_alive:
                 return
+            if not self.zone_cuts.reaches_store(process):
+                self.clock.after(0.1, arrive)
+                return
             if self.store.is_down and self.store.refuses_batches:
                 refused = events.BatchRefused(self.clock.now, batch.number)
                 process.run(lambda: process.handle(refused))
@@ -565,15 +621,17 @@
             if not self.store.append(process.term, batch):
                 process.is_alive = False
                 return
-            event = events.BatchStored(self.clock.now + delay, batch.number)
-            self.clock.after(
-                delay,
-                lambda: process.run(
+            self.clock.after(delay, answer)
+
+        def answer() -> None:
+            if self.zone_cuts.reaches_store(process):
+                process.run(
                     lambda: process.handle(
-                        events.BatchStored(self.clock.now, event.number)
+                        events.BatchStored(self.clock.now, batch.number)
                     )
-                ),
-            )
+                )
+            else:
+                arrive()  # the answer is lost
 
         self.clock.after(delay, arrive)
 
@@ -597,12 +655,19 @@
         worker = self._find_worker(command.worker)
         if isinstance(command, effects.Start):
             is_withheld = self._draws_withheld_start()
-            if is_withheld or not process.has_authority:
+            if is_withheld or not self._may_start(process):
                 self._report_withheld(process, command)
                 return
         draw = self.random.random() if self.has_faults else 1.0
         latency = NETWORK_LATENCY_S * self.random.uniform(0.5, 3)
-        if self._is_partitioned(worker) or not worker.is_up:
+        is_cut_off = not self.zone_cuts.reaches_worker(process, worker)
+        if is_cut_off and self.zone_cuts.draws_late_order():
+            incarnation = worker.incarnation
+            self.clock.after(
+                self.zone_cuts.draw_lateness(),
+                lambda: self._execute_unanswered(worker, command, incarnation, True),
+            )
+        if is_cut_off or self._is_partitioned(worker) or not worker.is_up:
             self.clock.after(0.8, lambda: execute(process, worker, command, False))
         elif draw < self.scenario.late:
             delay = self.random.uniform(2, 12)
@@ -626,6 +691,11 @@
 
             self.clock.after(latency, arrive)
 
+    def _may_start(self, process: PlannerProcess) -> bool:
+        if self.zone_cuts.is_enabled:
+            return self.zone_cuts.may_start(process)
+        return process.has_authority
+
     def _draws_withheld_start(self) -> bool:
         if not self.has_faults:
             return False
@@ -709,6 +779,8 @@
         def arrive() -> None:
             response = None
             is_connected = not self._is_partitioned(worker) and worker.is_up
+            if not self.zone_cuts.reaches_worker(process, worker):
+                is_connected = False
             if is_connected and (worker.incarnation == incarnation or not poll.wait_s):
                 response = worker.poll(poll)
                 if response is None:
