Renew leases only while no other planner can count them as expired

Cause: a planner that was cut off with its zone from the store and the other zones withheld starts, but went on renewing the leases of the workers that it alone reached. Its successor could not reach these, and counted their leases as expired after a fixed time, in which "an earlier planner may still renew": nothing made it stop. Class of fault: acting on an authority that has expired.

Change: LeaseAuthority bounds renewals by the last renewal of the claim (0.9 s), or, while the store fails, by answered pings of all voters, the hosts that the newest stored renewal names. A member that plans answers none, and counts 1.5 s for its predecessor in place of 2.5 s; one that is no voter counts 120 s. So an outage of the store for all ends no work, and a planner that is cut off lets leases lapse. Its members turn unready, so that clients are sent to other zones. A member that has missed records takes the term as unknown. Pings are extended at their end; the test of encodings pinned all fields of a frame, and now pins the older layout (readable in both directions) and the newer one.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
@@ -83,12 +83,17 @@
     :param member: name of the member's incarnation that wrote the record
     :param address: address at which the member accepts streams from other members
     :param wall_ms: Unix time of writing, in milliseconds
+    :param voters: addresses of the planner's voters, in a renewal that names them
+    :param term: number of the term that is renewed, if voters are named, as the record
+        of the claim may have been deleted; 0 if it is not told
     """
 
     action: ElectionAction
     member: str
     address: str
     wall_ms: int = 0
+    voters: tuple[str, ...] | None = None
+    term: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,6 +133,12 @@
         self._claims_suspended_until = float("-inf")
         self._started_after_claim = True
         """Whether this member started to read after the newest claim was written."""
+        self.voters: frozenset[str] | None = None
+        """Addresses in the newest list of voters; None if none was read."""
+        self._has_missed_records = False
+        """Whether records were deleted unread, and no list of voters was read since."""
+        self._is_term_unknown = False
+        """Whether a claim may be among those records."""
         self._report_time_by_member: dict[str, float] = {}
 
     @property
@@ -150,13 +161,15 @@
             computes the age of the records; 0 to skip this
         """
         is_first = self._answered_at == float("-inf")
+        if (records[0][0] if records else end) > self.next_offset:
+            self._on_records_missed(now)
         if now - self._answered_at > READ_GAP_S:
             self._silent_since = now
         self._answered_at = now
         for offset, record in records:
             if offset >= self.next_offset and record is not None:
                 self._apply(offset, record, now)
-                if self.term is not None and record.member == self.term.member:
+                if record.action in (ElectionAction.CLAIM, ElectionAction.RENEW):
                     self._silent_since = now
                 if record.action is ElectionAction.CLAIM:
                     self._started_after_claim = is_first
@@ -165,23 +178,43 @@
             self._silent_since = now - max(0.0, age_s)
         self.next_offset = max(self.next_offset, end)
 
+    def _on_records_missed(self, now: float) -> None:
+        """Assume that another member may have claimed in records that were deleted."""
+        self.voters = None
+        self._has_missed_records = True
+        self._silent_since = now
+        if self.is_planner:
+            self.term = None
+        self._is_term_unknown = self.term is None
+
     def _apply(self, offset: int, record: ElectionRecord, now: float) -> None:
         if record.action is ElectionAction.REPORT_UNREACHABLE:
             self._report_time_by_member[record.member] = now
             return
         if record.action is ElectionAction.CLAIM:
             self._report_time_by_member.clear()
-            self.term = Term(offset + 1, record.member, record.address)
-            self._newest_number = max(self._newest_number, offset + 1)
+            self._adopt(Term(offset + 1, record.member, record.address))
             self._abdicated_at = float("-inf")
             return
+        if record.voters is not None:
+            self.voters = frozenset(record.voters)
+            if record.term > self._newest_number:
+                self._adopt(Term(record.term, record.member, record.address))
         is_holder = self.term is not None and record.member == self.term.member
         if is_holder and record.action is ElectionAction.RENEW:
             self._abdicated_at = float("-inf")  # it can write again
-        if is_holder and record.action is ElectionAction.RELEASE:
+        if record.action is ElectionAction.RELEASE and (
+            is_holder or self._is_term_unknown
+        ):
             self.term = None
+            self._is_term_unknown = False
             self._released_at = now
 
+    def _adopt(self, term: Term) -> None:
+        self.term = term
+        self._newest_number = max(self._newest_number, term.number)
+        self._is_term_unknown = False
+
     @property
     def has_larger_alternative(self) -> bool:
         """Whether this host has far fewer processors than the largest known one."""
@@ -197,7 +230,7 @@
             return False
         if now < self._claims_suspended_until:
             return False
-        if self.term is None:
+        if self.term is None and not self._is_term_unknown:
             wait_s = 0.0 if self._started_after_claim else OLDER_MEMBER_DELAY_S
             return now - self._released_at >= wait_s + self._defer_s
         if self._defer_s <= now - self._abdicated_at < ABDICATION_S:
@@ -217,17 +250,28 @@
             and term.address == self.address
         )
 
+    @property
+    def is_voter(self) -> bool:
+        """Whether the newest planner, if any, needs this member to renew leases.
+
+        Without any list of voters in the log, its planners do without voters.
+        """
+        if self.voters is None:
+            return not self._has_missed_records
+        return self.address in self.voters
+
     @property
     def _defer_s(self) -> float:
-        return DEFER_S if self.has_larger_alternative else 0.0
+        is_deferred = self.has_larger_alternative or not self.is_voter
+        return DEFER_S if is_deferred else 0.0
 
     def compute_claim_wait_s(self, now: float) -> float:
         """Return how many more seconds of silence allow this member to claim."""
-        if self.term is None:
+        if self.term is None and not self._is_term_unknown:
             return 0.0
         if self._succeeds_own_process and not self.has_larger_alternative:
             return 0.0
-        is_suspect = self.term.number == self._suspect_term
+        is_suspect = self.term is not None and self.term.number == self._suspect_term
         timeout_s = SUSPECT_CLAIM_AFTER_S if is_suspect else CLAIM_AFTER_S
         return self._silent_since + timeout_s + self._defer_s - now
 
@@ -242,8 +286,7 @@
         """
         if term.member == self.member or term.number <= self._newest_number:
             return False
-        self._newest_number = term.number
-        self.term = term
+        self._adopt(term)
         return True
 
     def on_connection_refused(self, term: int) -> bool:
@@ -271,10 +314,17 @@
         self.next_offset = max(self.next_offset, offset + 1)
         self._renewed_at = sent_at
 
-    def on_renewed(self, offset: int, sent_at: float) -> None:
-        """Record that a renewal was appended."""
+    def on_renewed(
+        self, offset: int, sent_at: float, voters: tuple[str, ...] | None = None
+    ) -> None:
+        """Record that a renewal was appended.
+
+        :param voters: voters that it names
+        """
         self.next_offset = max(self.next_offset, offset + 1)
         self._renewed_at = max(self._renewed_at, sent_at)
+        if voters is not None:
+            self.voters = frozenset(voters)
 
     def is_unreachable(self, connected: int, now: float) -> bool:
         """Whether more members report this planner as unreachable than are connected.
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/events.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/events.py
@@ -257,6 +257,8 @@
     """Periodic timer event.
 
     :param wall_ms: Unix time in milliseconds
+    :param lease_authority_until: time until which the planner may renew leases
     """
 
     wall_ms: int
+    lease_authority_until: float = float("inf")
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
@@ -30,9 +30,6 @@
 STATUS_RETENTION_MARGIN_S = 60.0
 """Seconds for which final states are kept beyond the promised time."""
 
-FENCE_DELAY_S = 2.5
-"""Seconds for which an earlier planner may still renew leases until it is fenced."""
-
 PASS_INTERVAL_S = 0.02
 """Minimum seconds between scheduling passes. Passes go on while a batch is in flight,
 so a slow store delays neither requests for advice nor the choice of workers."""
@@ -136,7 +133,7 @@
         state = self.state
         longest_lease_s = state.settings.lease_s / (1 - CLOCK_RATE_ERROR)
         worker = state.get_or_add_worker(task.worker)
-        worker.lease_until = now + FENCE_DELAY_S + longest_lease_s
+        worker.lease_until = now + state.settings.predecessor_s + longest_lease_s
         incarnation = task.incarnation
         state.place(task, worker)
         task.incarnation = incarnation
@@ -255,6 +252,7 @@
     def _on_tick(self, event: events.Tick) -> None:
         state = self.state
         state.wall_ms = event.wall_ms
+        state.lease_authority_until = event.lease_authority_until
         state.needs_pass = True
         if state.batches.is_stalled(event.now):
             self._intake.refuse_unstored(state.batches.pending, event.now)
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/reconciler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/reconciler.py
@@ -77,14 +77,17 @@
         is_fenced = (
             worker.fenced_incarnation == worker.incarnation and worker.incarnation != 0
         )
-        renews = is_fenced and not worker.failed_polls
+        is_in_contact = is_fenced and not worker.failed_polls
+        renews = is_in_contact and now < self._state.lease_authority_until
         deadline_ms = 0
         if renews:
             lease_s = self._state.settings.lease_s
             deadline_ms = worker.compute_deadline_ms(now, lease_s)
             worker.extend_lease(now, lease_s)
         waits = (
-            renews and worker.seen_end == worker.cursor and not worker.has_unlisted_ends
+            is_in_contact
+            and worker.seen_end == worker.cursor
+            and not worker.has_unlisted_ends
         )
         worker.is_polling = True
         # The cursor is sent until it is confirmed, but not after a failure: a new
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/state.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/state.py
@@ -11,6 +11,7 @@
 from .effects import Note, Stop
 from .fleet import Worker, WorkerLoss
 from .jobs import FINAL_STATES, JobState, TaskState, find_ready_steps
+from .lease_authority import KNOWN_PREDECESSOR_S
 from .rules import Rules
 from .run_times import RunTimes
 from .shares import SubmissionShares
@@ -42,12 +43,15 @@
     :param lease_s: seconds for which tasks go on running without contact with a planner
     :param status_s: seconds for which the final state of a job is kept
     :param longest_lease_s: longest lease that a worker grants, in seconds
+    :param predecessor_s: seconds after the load for which an earlier planner may renew
+        leases
     """
 
     term: int
     lease_s: float
     status_s: float
     longest_lease_s: float = 10.0
+    predecessor_s: float = KNOWN_PREDECESSOR_S
 
 
 class PlannerState:
@@ -85,6 +89,8 @@
         self.effects: list[Effect] = []
         self.counters: Counter[str] = Counter()
         self.wall_ms = 0
+        self.lease_authority_until = float("-inf")
+        """Time until which this planner may renew leases."""
         self.needs_pass = True
 
     def note(self, kind: str, **fields: Any) -> None:
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/elections.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/elections.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import time
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import msgpack
@@ -27,8 +28,10 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from typing import Any
 
     from jacinthloom_core.planner.election import Term
+    from jacinthloom_core.planner.lease_authority import LeaseAuthority
 
     from ..platform.log_store import LogStore, ReadRecords
 
@@ -149,10 +152,12 @@
         self._position = max(self._position, offset + 1)
         self._announce_term()
 
-    async def renew(self) -> None:
+    async def renew(self, lease_authority: LeaseAuthority) -> None:
         """Renew this member's claim of the current term for as long as it holds.
 
         After a period of failed renewals, abdicate so that other members may claim.
+
+        :param lease_authority: told of each renewal; chooses the voters to name
         """
         renewed_at = failed_at = time.monotonic()
         failures = 0
@@ -165,8 +170,9 @@
             and self._election.term == term
         ):
             sent_at = time.monotonic()
+            voters = lease_authority.choose_voters(sent_at)
             try:
-                offset = await self._append(ElectionAction.RENEW)
+                offset = await self._append(ElectionAction.RENEW, voters=voters)
             except PlatformError as error:
                 failures += 1
                 if failures == 1:
@@ -181,6 +187,7 @@
                 if failures > 1 and is_over:
                     renewed_at = failed_at = now
                     self._election.abdicate()
+                    lease_authority.abdicate()
                     self._on_abdicated()
                 await asyncio.sleep(RETRY_INTERVAL_S)
                 continue
@@ -189,7 +196,8 @@
             failures = 0
             is_outcome_unknown = False
             renewed_at = sent_at
-            self._election.on_renewed(offset, sent_at)
+            self._election.on_renewed(offset, sent_at, voters)
+            lease_authority.on_renewed(sent_at, voters)
             await self._wait_for_renewal(max(0.0, sent_at + RENEW_S - time.monotonic()))
 
     async def _wait_for_renewal(self, seconds: float) -> None:
@@ -225,11 +233,19 @@
         except PlatformError as error:
             log.write("complaint_failed", reason=str(error))
 
-    async def _append(self, action: ElectionAction, is_conditional: bool = True) -> int:
+    async def _append(
+        self,
+        action: ElectionAction,
+        is_conditional: bool = True,
+        voters: tuple[str, ...] | None = None,
+    ) -> int:
         election = self._election
         wall_ms = int(time.time() * 1000)
+        term = election.term.number if election.term is not None else 0
         record = encode(
-            ElectionRecord(action, election.member, election.address, wall_ms)
+            ElectionRecord(
+                action, election.member, election.address, wall_ms, voters, term
+            )
         )
         expected_end = election.next_offset if is_conditional else None
         return await self._store.append(
@@ -254,17 +270,30 @@
 
 def encode(record: ElectionRecord) -> bytes:
     """Encode a record for the log."""
-    plain = [record.action.value, record.member, record.address, record.wall_ms]
+    plain: list[Any] = [
+        record.action.value,
+        record.member,
+        record.address,
+        record.wall_ms,
+    ]
+    if record.voters is not None:
+        plain += [record.voters, record.term]
     return bytes(msgpack.packb(plain))
 
 
 def decode(data: bytes) -> ElectionRecord | None:
     """Decode a record of the log; return None if it is invalid."""
     try:
-        action, member, address, wall_ms = msgpack.unpackb(data)
-        return ElectionRecord(
+        action, member, address, wall_ms, *rest = msgpack.unpackb(data)
+        record = ElectionRecord(
             ElectionAction(action), str(member), str(address), int(wall_ms)
         )
+        if not rest:
+            return record
+        voters, term = rest
+        return replace(
+            record, voters=tuple(str(voter) for voter in voters), term=int(term)
+        )
     except (ValueError, TypeError) as error:
         log.write("election_record_ignored", reason=str(error))
         return None
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/messages.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/messages.py
@@ -131,9 +131,18 @@
 
 
 class Ping(Message, frozen=True):
-    """Heartbeat of a stream; tells whether the sender reaches the store."""
+    """Heartbeat of a stream.
+
+    :param reaches_store: whether the member that sends it reaches the store
+    :param number: number of the planner's ping; from a member, that of the newest ping
+        that it has received
+    :param without_authority_s: seconds for which the planner has had no authority over
+        leases, as another one may have taken over
+    """
 
     reaches_store: bool = True
+    number: int = 0
+    without_authority_s: float = 0.0
 
 
 PlannerCall = Submit | Cancel | Show | Count
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_client.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_client.py
@@ -82,6 +82,8 @@
         self._connect_task: asyncio.Task[None] | None = None
         self._connected = asyncio.Event()
         self._disconnected_at = time.monotonic()
+        self._newest_ping = messages.Ping()
+        """Newest ping of the planner on the current stream."""
         self._advice_tasks: set[asyncio.Task[None]] = set()
 
     def set_term(self, term: Term | None) -> None:
@@ -128,8 +130,15 @@
 
     @property
     def has_lost_planner(self) -> bool:
-        """Whether the outage is so long that clients should use another host."""
-        return self.measure_outage_s() > NOT_READY_AFTER_S
+        """Whether the outage is so long that clients should use another host.
+
+        So it is if another member may have replaced the planner long ago.
+        """
+        without_authority_s = self._newest_ping.without_authority_s
+        if self._local_planner is not None:
+            without_authority_s = self._local_planner.measure_without_authority_s()
+        outage_s = max(self.measure_outage_s(), without_authority_s)
+        return outage_s > NOT_READY_AFTER_S
 
     @property
     def is_isolated(self) -> bool:
@@ -238,6 +247,8 @@
                     message = await messages.read_message(reader)
                 if isinstance(message, messages.Hello):
                     self._connected.set()
+                elif isinstance(message, messages.Ping):
+                    self._newest_ping = message
                 elif isinstance(message, messages.Answer):
                     self._on_answer(message)
                 elif isinstance(message, messages.Members):
@@ -255,7 +266,8 @@
     async def _ping(self) -> None:
         while True:
             await asyncio.sleep(PING_INTERVAL_S)
-            self._send(messages.Ping(self._election.reaches_store(time.monotonic())))
+            reaches_store = self._election.reaches_store(time.monotonic())
+            self._send(messages.Ping(reaches_store, self._newest_ping.number))
 
     async def query_peers(self) -> None:
         """Query other members for a newer term while there is no planner.
@@ -279,17 +291,19 @@
         self._peer_query_requested.set()
 
     async def _query_peer(self, address: str) -> bool:
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                response = await request_term(address)
-        except (OSError, EOFError, TimeoutError, messages.FrameError):
-            return False
-        if not response.number:
-            return False
-        term = Term(response.number, response.member, response.address)
-        if not self._election.on_term_learned(term):
+        term = await _fetch_term(address)
+        return term is not None and self._adopt(term, address)
+
+    async def knows_no_later_planner(self, address: str) -> bool:
+        """Query a member, and return whether it answers without naming a newer term."""
+        term = await _fetch_term(address)
+        return term is not None and not self._adopt(term, address)
+
+    def _adopt(self, term: Term, source: str) -> bool:
+        """Adopt a term that another member told; return whether it is newer."""
+        if not term.number or not self._election.on_term_learned(term):
             return False
-        log.write("term_told", number=term.number, member=term.member, by=address)
+        log.write("term_told", number=term.number, member=term.member, by=source)
         self._on_term_learned(term)
         return True
 
@@ -308,8 +322,19 @@
 
     def _disconnect(self) -> None:
         self._writer = None
+        self._newest_ping = messages.Ping()
         if self._local_planner is None:
             self._mark_disconnected()
         for future in self._future_by_call.values():
             if not future.done():
                 future.set_exception(UnansweredError())
+
+
+async def _fetch_term(address: str) -> Term | None:
+    """Return the newest term that a member knows, or None if it does not answer."""
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            response = await request_term(address)
+    except (OSError, EOFError, TimeoutError, messages.FrameError):
+        return None
+    return Term(response.number, response.member, response.address)
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_runner.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_runner.py
@@ -32,6 +32,7 @@
     from jacinthloom_core.planner.effects import Effect
     from jacinthloom_core.planner.events import Event
     from jacinthloom_core.planner.fleet import WorkerEntry
+    from jacinthloom_core.planner.lease_authority import LeaseAuthority
 
     from ..metrics import LatencyHistogram
     from ..platform.log_store import LogStore
@@ -46,6 +47,7 @@
 
     :param request_advice: requests advice from a member
     :param has_authority: whether no other member can have claimed yet
+    :param lease_authority: until when leases may be renewed
     :param on_refused: called when the store has rejected a batch
     :param ignored_records: counts, by topic, the records that could not be used
     """
@@ -56,6 +58,7 @@
         settings: PlannerSettings,
         request_advice: Callable[[effects.RequestAdvice], None],
         has_authority: Callable[[], bool],
+        lease_authority: LeaseAuthority,
         append_latency: LatencyHistogram,
         on_refused: Callable[[], None],
         ignored_records: Counter[str],
@@ -69,12 +72,13 @@
         self._zones_out: frozenset[str] = frozenset()
         self._request_advice = request_advice
         self._has_authority = has_authority
+        self.lease_authority = lease_authority
         self._calls = itertools.count(1)
         self._future_by_call: dict[int, asyncio.Future[effects.Reply]] = {}
         self._client_by_worker: dict[str, WorkerClient] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._flush_timer: asyncio.TimerHandle | None = None
-        self._had_authority = True
+        self._had_authority = False
         self.is_ready = asyncio.Event()
         self.ended = asyncio.Event()
         self._appender = BatchAppender(
@@ -117,12 +121,13 @@
         log.write("planner_ready", term=self._term, records=len(records))
         while not self.ended.is_set():
             self._note_authority()
-            self.handle(events.Tick(time.monotonic(), _wall_ms()))
+            until = self.lease_authority.compute_until()
+            self.handle(events.Tick(time.monotonic(), _wall_ms(), until))
             await asyncio.sleep(TICK_S)
 
     def _note_authority(self) -> None:
-        """Log that authority was lost or regained."""
-        has_authority = self._has_authority()
+        """Log that authority over leases was lost or regained."""
+        has_authority = self.has_lease_authority
         if has_authority != self._had_authority:
             self._had_authority = has_authority
             self._log_authority(
@@ -180,6 +185,15 @@
         while self._future_by_call and time.monotonic() < deadline:
             await asyncio.sleep(RETRY_INTERVAL_S / 5)
 
+    @property
+    def has_lease_authority(self) -> bool:
+        """Whether leases may be renewed now."""
+        return not self.measure_without_authority_s()
+
+    def measure_without_authority_s(self) -> float:
+        """Return for how many seconds there has been no authority over leases."""
+        return max(0.0, time.monotonic() - self.lease_authority.compute_until())
+
     # Events
 
     def handle(self, event: Event) -> None:
@@ -363,7 +377,7 @@
         if poll.deadline_ms:
             counters = self._planner.state.counters
             counters["lease_renewed"] += 1
-            counters["lease_renewed_without_authority"] += not self._has_authority()
+            counters["lease_renewed_without_authority"] += not self.has_lease_authority
         try:
             client = self._find_client(poll.worker, poll.address)
             response = await client.hold(poll)
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_server.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_server.py
@@ -4,6 +4,9 @@
 
 import asyncio
 import contextlib
+import itertools
+import time
+from collections import OrderedDict
 from typing import TYPE_CHECKING
 
 from . import log, messages
@@ -16,6 +19,9 @@
 
     from .planner_runner import PlannerRunner
 
+REMEMBERED_PINGS = 16
+"""Pings for which the time of sending is kept: those of several seconds."""
+
 LOAD_TIMEOUT_S = 1.0
 """Seconds that a new stream waits for the planner to load its records."""
 
@@ -135,6 +141,7 @@
         self._session_by_member[session.member] = session
         session.send(messages.Hello("", ""))
         runner.on_member(session.member, True)
+        runner.lease_authority.on_connected(session.address)
         self._broadcast_members()
         # Not updated when members leave: after its term, a planner queries every member
         # that it has known.
@@ -145,7 +152,7 @@
                 async with asyncio.timeout(SILENCE_TIMEOUT_S):
                     message = await messages.read_message(reader)
                 if isinstance(message, messages.Ping):
-                    session.reaches_store = message.reaches_store
+                    session.on_ping(message)
                 elif isinstance(message, messages.Advised):
                     runner.on_advised(session.member, message)
                 elif isinstance(message, messages.PlannerCall):
@@ -160,6 +167,10 @@
     def _remove(self, session: _Session) -> None:
         self._sessions.discard(session)
         session.close()
+        if all(s.address != session.address for s in self._sessions):
+            session.runner.lease_authority.on_disconnected(
+                session.address, time.monotonic()
+            )
         if self._session_by_member.get(session.member) is session:
             del self._session_by_member[session.member]
             session.runner.on_member(session.member, False)
@@ -174,6 +185,8 @@
     ) -> None:
         self._writer = writer
         self._calls: set[asyncio.Task[None]] = set()
+        self._ping_numbers = itertools.count(1)
+        self._sent_at_by_ping: OrderedDict[int, float] = OrderedDict()
         self.runner = runner
         self.member = hello.member
         self.address = hello.address
@@ -195,7 +208,19 @@
     async def ping(self) -> None:
         while True:
             await asyncio.sleep(PING_INTERVAL_S)
-            self.send(messages.Ping())
+            number = next(self._ping_numbers)
+            self._sent_at_by_ping[number] = time.monotonic()
+            if len(self._sent_at_by_ping) > REMEMBERED_PINGS:
+                self._sent_at_by_ping.popitem(last=False)
+            without_s = self.runner.measure_without_authority_s()
+            self.send(messages.Ping(number=number, without_authority_s=without_s))
+
+    def on_ping(self, ping: messages.Ping) -> None:
+        """Record which ping the member has answered: it does not plan."""
+        self.reaches_store = ping.reaches_store
+        sent_at = self._sent_at_by_ping.get(ping.number)
+        if sent_at is not None:
+            self.runner.lease_authority.on_ping_answered(self.address, sent_at)
 
     def close(self) -> None:
         self._writer.close()
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from jacinthloom_core.planner.election import MIN_TERM_BEFORE_HANDOVER_S, Election
+from jacinthloom_core.planner.lease_authority import LeaseAuthority
 from jacinthloom_core.planner.state import PlannerSettings
 from jacinthloom_wire.http_server import HttpServer, ServerLimits, ServerResponse
 
@@ -50,6 +51,9 @@
 REACHABILITY_INTERVAL_S = 0.5
 """Seconds between two checks whether members reach the planner."""
 
+VOTER_QUERY_INTERVAL_S = 0.5
+"""Seconds between two queries of voters that are not connected to the planner."""
+
 TASK_RESTART_INTERVAL_S = 0.2
 """Seconds until a task of the process is restarted after an unexpected error."""
 
@@ -231,8 +235,18 @@
             log.write("term_repeated", number=term.number)
             return
         self._last_planned_term = term.number
-        self._spawn(self._election_follower.renew())
-        self._spawn(self._run_planner(term))
+        election = self._election
+        lease_authority = LeaseAuthority(
+            election.address, election.voters, election.is_voter, time.monotonic()
+        )
+        log.write(
+            "term_begun",
+            number=term.number,
+            predecessor_s=lease_authority.predecessor_s,
+            voters=sorted(election.voters or ()),
+        )
+        self._spawn(self._election_follower.renew(lease_authority))
+        self._spawn(self._run_planner(term, lease_authority))
 
     def _on_abdicated(self) -> None:
         term = self._election.term
@@ -240,18 +254,20 @@
             log.write("abdicated", term=term.number)
             self._planner_server.broadcast(messages.Abdicated(term.number))
 
-    async def _run_planner(self, term: Term) -> None:
+    async def _run_planner(self, term: Term, lease_authority: LeaseAuthority) -> None:
         settings = PlannerSettings(
             term.number,
             min(LEASE_S, self._settings.longest_lease_s),
             self._settings.status_s,
             self._settings.longest_lease_s,
+            lease_authority.predecessor_s,
         )
         runner = PlannerRunner(
             self._store,
             settings,
             self._request_advice,
             self._has_authority,
+            lease_authority,
             self._append_latency,
             self._election_follower.renew_now,
             self._ignored_records,
@@ -262,6 +278,7 @@
         runner.on_zones(self._operator_feed.zones_out)
         await self._operator_feed.has_rules.wait()
         run = asyncio.create_task(runner.run())
+        queries = self._spawn(self._query_silent_voters(lease_authority))
         ready = asyncio.create_task(runner.is_ready.wait())
         try:
             await asyncio.wait({run, ready}, return_when=asyncio.FIRST_COMPLETED)
@@ -274,6 +291,7 @@
             log.write("term_lost", term=term.number)
         finally:
             ready.cancel()
+            queries.cancel()
             if self._election.term == term:
                 self._election_follower.stop_renewing()
             if self._runner is runner:
@@ -284,6 +302,20 @@
             runner.close()
             self._planner_client.query_peers_now()
 
+    async def _query_silent_voters(self, lease_authority: LeaseAuthority) -> None:
+        """Query voters that restarted while the store is away: they know no planner."""
+        while True:
+            await asyncio.sleep(VOTER_QUERY_INTERVAL_S)
+            voters = lease_authority.list_silent_voters(time.monotonic())
+            await asyncio.gather(
+                *(self._query_voter(voter, lease_authority) for voter in voters)
+            )
+
+    async def _query_voter(self, voter: str, lease_authority: LeaseAuthority) -> None:
+        sent_at = time.monotonic()
+        if await self._planner_client.knows_no_later_planner(voter):
+            lease_authority.on_ping_answered(voter, sent_at)
+
     def _has_authority(self) -> bool:
         return self._election.has_authority(time.monotonic())
 
--- a/testkit/planning/world.py
+++ b/testkit/planning/world.py
@@ -173,7 +173,8 @@
     def _tick(self) -> None:
         now = self._world.clock.now
         self._world.zone_cuts.renew(self)
-        self.handle(events.Tick(now, int(now * 1000)))
+        until = self._world.compute_lease_authority(self)
+        self.handle(events.Tick(now, int(now * 1000), until))
         if self.is_alive:
             self._world.clock.after(TICK_S, lambda: self.run(self._tick))
 
--- a/tests/test_encodings.py
+++ b/tests/test_encodings.py
@@ -11,6 +11,7 @@
 import unittest
 from typing import Any, get_args
 
+import msgspec
 from jacinthloom_core.shared_log import codec
 
 from tests.encodings import (
@@ -23,6 +24,9 @@
     list_frames,
 )
 
+OLDER_FRAME = "older-frame."
+"""Begins the names of frames to which fields were added since."""
+
 
 class EncodingsTest(unittest.TestCase):
     def setUp(self) -> None:
@@ -33,7 +37,7 @@
 
     def test_recorded_bytes_are_written_again(self) -> None:
         for name, data in self.data_by_name.items():
-            if not name.startswith("planner."):
+            if not name.startswith(("planner.", OLDER_FRAME)):
                 with self.subTest(name=name):
                     self.assertEqual(encode_again(name, data), data)
 
@@ -45,6 +49,27 @@
         }
         self.assertEqual(encode_planner_again(stored), stored)
 
+    # Guards against builds that can't read each other's frames in a rolling update.
+    def test_frames_are_only_extended_at_their_end(self) -> None:
+        for name, row in self.rows.items():
+            if not name.startswith(OLDER_FRAME):
+                continue
+            with self.subTest(name=name):
+                kind = type(decode_frame(self.data_by_name[name]))
+                count = len(row["fields"])
+                self.assertEqual(list_fields(kind)[:count], row["fields"])
+                older = msgspec.msgpack.decode(self.data_by_name[name][4:])
+                again = encode_again("frame", self.data_by_name[name])
+                self.assertEqual(msgspec.msgpack.decode(again[4:])[: count + 1], older)
+                older_kind = msgspec.defstruct(
+                    kind.__name__,
+                    [(field, Any) for field in row["fields"]],
+                    tag=True,
+                    array_like=True,
+                )
+                newer = self.data_by_name[f"frame.{kind.__name__}"]
+                msgspec.msgpack.decode(newer[4:], type=older_kind)
+
     def test_every_encoded_class_is_recorded(self) -> None:
         for title, union in UNION_BY_NAME.items():
             recorded = [name for name in self.rows if name.startswith(f"{title}.")]
--- a/tests/test_planner_runner.py
+++ b/tests/test_planner_runner.py
@@ -10,6 +10,7 @@
 from jacinthloom_core.model.resources import Resources
 from jacinthloom_core.planner import effects, events
 from jacinthloom_core.planner.fleet import WorkerEntry
+from jacinthloom_core.planner.lease_authority import LeaseAuthority
 from jacinthloom_core.planner.records import Record
 from jacinthloom_core.planner.rules import Queue, Rules
 from jacinthloom_core.planner.specs import TaskId
@@ -71,6 +72,7 @@
             PlannerSettings(1, 6.0, 120.0),
             lambda request: None,
             lambda: True,
+            LeaseAuthority("10.0.0.9:1", None, True, 0.0),
             LatencyHistogram("append_seconds", "help"),
             self.count_refusal,
             Counter(),
--- a/tests/test_planner_streams.py
+++ b/tests/test_planner_streams.py
@@ -7,6 +7,7 @@
 from typing import Any, cast
 
 from jacinthloom_core.planner.election import Election, Term
+from jacinthloom_core.planner.lease_authority import LeaseAuthority
 from jacinthloom_daemon.hosted import messages
 from jacinthloom_daemon.hosted.client_handler import ClientHandler
 from jacinthloom_daemon.hosted.planner_client import PlannerClient
@@ -19,8 +20,13 @@
 class FakePlanner:
     """A planner that answers every call."""
 
-    def __init__(self) -> None:
+    def __init__(self, address: str) -> None:
         self.ended = asyncio.Event()
+        self.lease_authority = LeaseAuthority(address, None, True, 0.0)
+        self.without_authority_s = 0.0
+
+    def measure_without_authority_s(self) -> float:
+        return self.without_authority_s
 
     def on_member(self, member: str, is_connected: bool) -> None:
         """Ignore the member."""
@@ -91,7 +97,7 @@
         for member in self.members:
             await member.server.start(member.address)
         self.term = Term(1, "m0", self.members[0].address)
-        self.planner = cast("Any", FakePlanner())
+        self.planner = cast("Any", FakePlanner(self.members[0].address))
         self.tasks: list[asyncio.Task[None]] = []
 
     async def asyncTearDown(self) -> None:
@@ -154,6 +160,63 @@
         self.assertTrue(self.members[2].election.has_larger_alternative)
         self.assertFalse(self.members[1].election.has_larger_alternative)
 
+    def name_voters(self) -> tuple[LeaseAuthority, float]:
+        """Let the planner rely on its members alone, from now on."""
+        authority = self.planner.lease_authority
+        now = asyncio.get_running_loop().time()
+        authority.on_renewed(now, tuple(member.address for member in self.members))
+        authority.abdicate()
+        return authority, now
+
+    async def wait_for_authority(self, authority: LeaseAuthority, since: float) -> None:
+        async with asyncio.timeout(3):
+            while authority.compute_until() < since:
+                await asyncio.sleep(0.02)
+
+    # Guards against work that ends in an outage of the store for all, since the
+    # planner does not learn that its members do not plan.
+    async def test_members_answer_the_pings_of_a_planner_without_the_store(
+        self,
+    ) -> None:
+        await self.connect()
+        authority, now = self.name_voters()
+        await self.wait_for_authority(authority, now + 1.0)
+
+    # Guards against two planners that renew leases: a member that plans answers no
+    # pings of the planner before it.
+    async def test_member_that_plans_answers_no_pings(self) -> None:
+        await self.connect()
+        authority, now = self.name_voters()
+        successor = self.members[1]
+        successor.set_term(Term(2, "m1", successor.address))
+        await asyncio.sleep(1.7)
+        self.assertLess(authority.compute_until(), now + 1.5)
+
+    # Guards against clients that are refused in a zone that is cut off: its planner
+    # answers, but may have been replaced.
+    async def test_members_of_a_planner_without_authority_have_lost_it(self) -> None:
+        await self.connect()
+        client = self.members[1].planner_client
+        self.planner.without_authority_s = 0.4
+        await asyncio.sleep(0.7)
+        self.assertFalse(client.has_lost_planner)
+        self.planner.without_authority_s = 2.0
+        async with asyncio.timeout(2):
+            while not client.has_lost_planner:
+                await asyncio.sleep(0.02)
+
+    # Guards against work that ends in an outage of the store since a member has
+    # restarted, and can't read who the planner is.
+    async def test_member_that_knows_no_planner_answers_a_query(self) -> None:
+        planner, restarted, successor = self.members
+        planner.set_term(self.term)
+        client = planner.planner_client
+        self.assertTrue(await client.knows_no_later_planner(restarted.address))
+        successor.election.term = Term(9, "m2", successor.address)
+        self.assertFalse(await client.knows_no_later_planner(successor.address))
+        self.assertEqual(planner.learned_terms[0].number, 9)
+        self.assertFalse(await client.knows_no_later_planner("127.0.0.1:9"))
+
 
 if __name__ == "__main__":
     unittest.main()
