Count the time of a suspension against authority

What callers saw: nothing on record.

Change: hosted/clock.py reads CLOCK_BOOTTIME; the election, the planner's runner, server and client and the process use it alone. Timers of asyncio stay on the steady clock: they only fire late.

Evidence: test_planner_has_no_authority_after_its_machine_was_suspended. With clock.now() reading time.monotonic() it fails: authority is still there 5 s after the suspension.

--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/elections.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/elections.py
@@ -24,7 +24,7 @@
     TruncatedError,
     UnavailableError,
 )
-from . import log
+from . import clock, log
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -117,7 +117,7 @@
         """Return how long to wait for records: at most until a claim is due."""
         if not self._position:
             return 0.0
-        due_s = self._election.compute_claim_wait_s(time.monotonic())
+        due_s = self._election.compute_claim_wait_s(clock.now())
         if self._election.is_planner or not self.claims_enabled or due_s <= 0:
             return READ_WAIT_S
         return min(READ_WAIT_S, max(MIN_READ_WAIT_S, due_s))
@@ -125,7 +125,7 @@
     async def _step(self) -> None:
         read = await self._read_or_interrupt()
         if read is None:
-            if self.claims_enabled and self._election.may_claim(time.monotonic()):
+            if self.claims_enabled and self._election.may_claim(clock.now()):
                 await self._claim()
             return
         self._set_reachable(True)
@@ -135,15 +135,15 @@
         ]
         self._position = max(read.next_offset, self._position)
         wall_ms = int(time.time() * 1000)
-        self._election.on_read(rows, read.next_offset, time.monotonic(), wall_ms)
+        self._election.on_read(rows, read.next_offset, clock.now(), wall_ms)
         self._announce_term()
-        if self.claims_enabled and self._election.may_claim(time.monotonic()):
+        if self.claims_enabled and self._election.may_claim(clock.now()):
             await self._claim()
         elif not self._position:
             await asyncio.sleep(RETRY_INTERVAL_S)
 
     async def _claim(self) -> None:
-        sent_at = time.monotonic()
+        sent_at = clock.now()
         try:
             offset = await self._append(ElectionAction.CLAIM)
         except ConflictError:
@@ -159,7 +159,7 @@
 
         :param lease_authority: told of each renewal; chooses the voters to name
         """
-        renewed_at = failed_at = time.monotonic()
+        renewed_at = failed_at = clock.now()
         failures = 0
         is_outcome_unknown = False
         self._is_renewing = True
@@ -169,7 +169,7 @@
             and self._election.is_planner
             and self._election.term == term
         ):
-            sent_at = time.monotonic()
+            sent_at = clock.now()
             voters = lease_authority.choose_voters(sent_at)
             try:
                 offset = await self._append(ElectionAction.RENEW, voters=voters)
@@ -179,7 +179,7 @@
                     failed_at = sent_at
                     log.write("renewal_failed", reason=str(error))
                 is_outcome_unknown = is_outcome_unknown or _may_have_run(error)
-                now = time.monotonic()
+                now = clock.now()
                 if is_outcome_unknown:
                     is_over = now - renewed_at > ABDICATE_AFTER_S
                 else:
@@ -198,7 +198,7 @@
             renewed_at = sent_at
             self._election.on_renewed(offset, sent_at, voters)
             lease_authority.on_renewed(sent_at, voters)
-            await self._wait_for_renewal(max(0.0, sent_at + RENEW_S - time.monotonic()))
+            await self._wait_for_renewal(max(0.0, sent_at + RENEW_S - clock.now()))
 
     async def _wait_for_renewal(self, seconds: float) -> None:
         """Wait until the next renewal is due or requested."""
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_client.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_client.py
@@ -5,13 +5,12 @@
 import asyncio
 import contextlib
 import itertools
-import time
 from typing import TYPE_CHECKING
 
 import msgspec
 from jacinthloom_core.planner.election import REPORT_UNREACHABLE_AFTER_S, Term
 
-from . import log, messages
+from . import clock, log, messages
 from .streams import (
     CONNECT_TIMEOUT_S,
     PING_INTERVAL_S,
@@ -81,7 +80,7 @@
         self._local_planner: PlannerRunner | None = None
         self._connect_task: asyncio.Task[None] | None = None
         self._connected = asyncio.Event()
-        self._disconnected_at = time.monotonic()
+        self._disconnected_at = clock.now()
         self._newest_ping = messages.Ping()
         """Newest ping of the planner on the current stream."""
         self._advice_tasks: set[asyncio.Task[None]] = set()
@@ -126,7 +125,7 @@
         """Return for how many seconds there has been no connection to a planner."""
         if self._connected.is_set():
             return 0.0
-        return time.monotonic() - self._disconnected_at
+        return clock.now() - self._disconnected_at
 
     @property
     def has_lost_planner(self) -> bool:
@@ -143,7 +142,7 @@
     @property
     def is_isolated(self) -> bool:
         """Whether the log shows the planner alive but this member can't reach it."""
-        now = time.monotonic()
+        now = clock.now()
         return (
             self.measure_outage_s() > REPORT_UNREACHABLE_AFTER_S
             and not self._election.is_planner
@@ -203,7 +202,7 @@
 
     def _mark_disconnected(self) -> None:
         if self._connected.is_set():
-            self._disconnected_at = time.monotonic()
+            self._disconnected_at = clock.now()
         self._connected.clear()
 
     def _send(self, message: messages.AnyMessage) -> None:
@@ -258,7 +257,7 @@
                     self._spawn_advice(message)
                 elif isinstance(message, messages.Abdicated):
                     log.write("planner_abdicated", term=message.term)
-                    self._election.on_abdicated(message.term, time.monotonic())
+                    self._election.on_abdicated(message.term, clock.now())
                     self._check_claim()
         finally:
             pings.cancel()
@@ -266,7 +265,7 @@
     async def _ping(self) -> None:
         while True:
             await asyncio.sleep(PING_INTERVAL_S)
-            reaches_store = self._election.reaches_store(time.monotonic())
+            reaches_store = self._election.reaches_store(clock.now())
             self._send(messages.Ping(reaches_store, self._newest_ping.number))
 
     async def query_peers(self) -> None:
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_runner.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_runner.py
@@ -20,7 +20,7 @@
 )
 from ..platform.log_store import Producer
 from ..platform.worker_client import WorkerClient
-from . import log, messages
+from . import clock, log, messages
 from .batch_appender import RETRY_INTERVAL_S, AppendOutcome, BatchAppender
 from .feeds import WorkerFeed
 
@@ -109,7 +109,7 @@
         records = await self._load()
         if self.ended.is_set():
             return
-        now = time.monotonic()
+        now = clock.now()
         self._planner.load(records, now, _wall_ms())
         self.handle(events.RulesChanged(now, self._rules))
         self.handle(events.ZonesChanged(now, self._zones_out))
@@ -122,7 +122,7 @@
         while not self.ended.is_set():
             self._note_authority()
             until = self.lease_authority.compute_until()
-            self.handle(events.Tick(time.monotonic(), _wall_ms(), until))
+            self.handle(events.Tick(clock.now(), _wall_ms(), until))
             await asyncio.sleep(TICK_S)
 
     def _note_authority(self) -> None:
@@ -181,8 +181,8 @@
 
         Used by a planned stop.
         """
-        deadline = time.monotonic() + timeout_s
-        while self._future_by_call and time.monotonic() < deadline:
+        deadline = clock.now() + timeout_s
+        while self._future_by_call and clock.now() < deadline:
             await asyncio.sleep(RETRY_INTERVAL_S / 5)
 
     @property
@@ -192,7 +192,7 @@
 
     def measure_without_authority_s(self) -> float:
         """Return for how many seconds there has been no authority over leases."""
-        return max(0.0, time.monotonic() - self.lease_authority.compute_until())
+        return max(0.0, clock.now() - self.lease_authority.compute_until())
 
     # Events
 
@@ -214,28 +214,28 @@
         if due is None or self._flush_timer is not None:
             return
         loop = asyncio.get_running_loop()
-        delay = max(0.0, due - time.monotonic())
+        delay = max(0.0, due - clock.now())
         self._flush_timer = loop.call_later(delay, self._on_flush_due)
 
     def _on_flush_due(self) -> None:
         self._flush_timer = None
-        self.handle(events.FlushDue(time.monotonic()))
+        self.handle(events.FlushDue(clock.now()))
 
     def on_rules(self, rules: Rules) -> None:
         """Apply a configuration, at the latest when the records are loaded."""
         self._rules = rules
         if self.is_ready.is_set():
-            self.handle(events.RulesChanged(time.monotonic(), rules))
+            self.handle(events.RulesChanged(clock.now(), rules))
 
     def on_zones(self, zones: frozenset[str]) -> None:
         """Set the zones that are out of service, at the latest after the load."""
         self._zones_out = zones
         if self.is_ready.is_set():
-            self.handle(events.ZonesChanged(time.monotonic(), zones))
+            self.handle(events.ZonesChanged(clock.now(), zones))
 
     def on_member(self, member: str, is_connected: bool) -> None:
         """Add or remove a member that can query the advice service."""
-        now = time.monotonic()
+        now = clock.now()
         if is_connected:
             self.handle(events.MemberJoined(now, member))
         else:
@@ -243,7 +243,7 @@
 
     def on_advised(self, member: str, answer: messages.Advised) -> None:
         """Apply a response of the advice service."""
-        now = time.monotonic()
+        now = clock.now()
         if answer.good is None:
             self.handle(events.AdviceFailed(now, member, answer.step))
             return
@@ -252,10 +252,10 @@
         )
 
     def _on_listed(self, entry: WorkerEntry) -> None:
-        self.handle(events.WorkerListed(time.monotonic(), entry))
+        self.handle(events.WorkerListed(clock.now(), entry))
 
     def _on_unlisted(self, worker: str) -> None:
-        self.handle(events.WorkerUnlisted(time.monotonic(), worker))
+        self.handle(events.WorkerUnlisted(clock.now(), worker))
 
     # Calls
 
@@ -271,7 +271,7 @@
             asyncio.get_running_loop().create_future()
         )
         self._future_by_call[call] = future
-        now = time.monotonic()
+        now = clock.now()
         if isinstance(message, messages.Submit):
             self.handle(events.JobSubmitted(now, call, message.job))
         else:
@@ -316,10 +316,10 @@
     async def _append(self, store: effects.Store) -> None:
         outcome = await self._appender.append(store.records)
         if outcome is AppendOutcome.STORED:
-            self.handle(events.BatchStored(time.monotonic(), store.number))
+            self.handle(events.BatchStored(clock.now(), store.number))
         elif outcome is AppendOutcome.REFUSED:
             self._on_refused()
-            self.handle(events.BatchRefused(time.monotonic(), store.number))
+            self.handle(events.BatchRefused(clock.now(), store.number))
 
     def _find_client(self, worker: str, address: str) -> WorkerClient:
         client = self._client_by_worker.get(worker)
@@ -345,7 +345,7 @@
             outcome = events.StartOutcome.UNKNOWN
         self.handle(
             events.StartAnswered(
-                time.monotonic(), start.worker, start.task, start.run, outcome
+                clock.now(), start.worker, start.task, start.run, outcome
             )
         )
 
@@ -358,7 +358,7 @@
             self._on_call_failed(stop.worker, error)
         self.handle(
             events.StopAnswered(
-                time.monotonic(), stop.worker, stop.task, stop.run, is_confirmed
+                clock.now(), stop.worker, stop.task, stop.run, is_confirmed
             )
         )
 
@@ -373,7 +373,7 @@
             log.write("pace_failed", task=list(throttle.task), on=throttle.worker)
 
     async def _poll_worker(self, poll: effects.PollWorker) -> None:
-        sent_at = time.monotonic()
+        sent_at = clock.now()
         if poll.deadline_ms:
             counters = self._planner.state.counters
             counters["lease_renewed"] += 1
@@ -382,18 +382,16 @@
             client = self._find_client(poll.worker, poll.address)
             response = await client.hold(poll)
         except FencedError:
-            self.handle(
-                events.WorkerPollFailed(time.monotonic(), poll.worker, fenced=True)
-            )
+            self.handle(events.WorkerPollFailed(clock.now(), poll.worker, fenced=True))
             return
         except Exception as error:
             if not isinstance(error, PlatformError):
                 self._on_call_failed(poll.worker, error)
-            self.handle(events.WorkerPollFailed(time.monotonic(), poll.worker))
+            self.handle(events.WorkerPollFailed(clock.now(), poll.worker))
             return
         self.handle(
             events.WorkerPolled(
-                time.monotonic(),
+                clock.now(),
                 poll.worker,
                 sent_at,
                 poll.token,
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_server.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_server.py
@@ -5,11 +5,10 @@
 import asyncio
 import contextlib
 import itertools
-import time
 from collections import OrderedDict
 from typing import TYPE_CHECKING
 
-from . import log, messages
+from . import clock, log, messages
 from .streams import CONNECT_TIMEOUT_S, PING_INTERVAL_S, SILENCE_TIMEOUT_S
 
 if TYPE_CHECKING:
@@ -168,9 +167,7 @@
         self._sessions.discard(session)
         session.close()
         if all(s.address != session.address for s in self._sessions):
-            session.runner.lease_authority.on_disconnected(
-                session.address, time.monotonic()
-            )
+            session.runner.lease_authority.on_disconnected(session.address, clock.now())
         if self._session_by_member.get(session.member) is session:
             del self._session_by_member[session.member]
             session.runner.on_member(session.member, False)
@@ -209,7 +206,7 @@
         while True:
             await asyncio.sleep(PING_INTERVAL_S)
             number = next(self._ping_numbers)
-            self._sent_at_by_ping[number] = time.monotonic()
+            self._sent_at_by_ping[number] = clock.now()
             if len(self._sent_at_by_ping) > REMEMBERED_PINGS:
                 self._sent_at_by_ping.popitem(last=False)
             without_s = self.runner.measure_without_authority_s()
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
@@ -5,7 +5,6 @@
 import asyncio
 import secrets
 import signal
-import time
 from collections import Counter
 from typing import TYPE_CHECKING
 
@@ -18,7 +17,7 @@
 from ..platform.advice_client import AdviceClient
 from ..platform.errors import FencedError, UnavailableError
 from ..platform.log_store import LogStore
-from . import log, messages
+from . import clock, log, messages
 from .client_handler import ClientHandler
 from .elections import ElectionFollower
 from .feeds import OperatorFeed
@@ -130,17 +129,17 @@
         election = self._spawn(self._keep_running(self._election_follower.follow))
         await clients.start(settings.front_address)
         await self._stopping.wait()
-        stop_at = time.monotonic() + settings.grace_s - STOP_MARGIN_S
+        stop_at = clock.now() + settings.grace_s - STOP_MARGIN_S
         log.write("stopping", node=settings.name)
         self._election_follower.claims_enabled = False
         clients.drain()
         await self._hand_over()
         await asyncio.sleep(DRAIN_S)
-        while clients.open_connections and time.monotonic() < stop_at:
+        while clients.open_connections and clock.now() < stop_at:
             clients.close_idle(IDLE_TIMEOUT_S)
             await asyncio.sleep(0.05)
         election.cancel()
-        await clients.close(max(0.1, stop_at - time.monotonic()))
+        await clients.close(max(0.1, stop_at - clock.now()))
         log.write("stop", node=settings.name)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
@@ -200,7 +199,7 @@
                 await self._election_follower.report_unreachable_planner()
                 await asyncio.sleep(REACHABILITY_INTERVAL_S)
                 continue
-            now = time.monotonic()
+            now = clock.now()
             connected = self._planner_server.count_members()
             if self._runner is None or not self._runner.is_ready.is_set():
                 continue
@@ -237,7 +236,7 @@
         self._last_planned_term = term.number
         election = self._election
         lease_authority = LeaseAuthority(
-            election.address, election.voters, election.is_voter, time.monotonic()
+            election.address, election.voters, election.is_voter, clock.now()
         )
         log.write(
             "term_begun",
@@ -273,7 +272,7 @@
             self._ignored_records,
         )
         self._runner = runner
-        self._term_began_at = time.monotonic()
+        self._term_began_at = clock.now()
         runner.on_rules(self._operator_feed.rules)
         runner.on_zones(self._operator_feed.zones_out)
         await self._operator_feed.has_rules.wait()
@@ -306,18 +305,18 @@
         """Query voters that restarted while the store is away: they know no planner."""
         while True:
             await asyncio.sleep(VOTER_QUERY_INTERVAL_S)
-            voters = lease_authority.list_silent_voters(time.monotonic())
+            voters = lease_authority.list_silent_voters(clock.now())
             await asyncio.gather(
                 *(self._query_voter(voter, lease_authority) for voter in voters)
             )
 
     async def _query_voter(self, voter: str, lease_authority: LeaseAuthority) -> None:
-        sent_at = time.monotonic()
+        sent_at = clock.now()
         if await self._planner_client.knows_no_later_planner(voter):
             lease_authority.on_ping_answered(voter, sent_at)
 
     def _has_authority(self) -> bool:
-        return self._election.has_authority(time.monotonic())
+        return self._election.has_authority(clock.now())
 
     # Advice
 
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import unittest
 from typing import Any, cast
+from unittest import mock
 
 from jacinthloom_core.planner.election import Term
 from jacinthloom_core.planner.rules import Queue, Rules
@@ -50,6 +52,18 @@
         return ReadRecords(start, (), start)
 
 
+class SuspendableMachine:
+    """Clocks of a machine that the test suspends and resumes."""
+
+    def __init__(self) -> None:
+        self.suspended_s = 0.0
+        self._clock_gettime = time.clock_gettime
+
+    def clock_gettime(self, clock: int) -> float:
+        is_counted = clock in (time.CLOCK_BOOTTIME, time.CLOCK_REALTIME)
+        return self._clock_gettime(clock) + (self.suspended_s if is_counted else 0.0)
+
+
 class EntryProcessTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         self.process = EntryProcess(NodeSettings.from_text(SETTINGS))
@@ -86,6 +100,24 @@
                     return planner
                 await asyncio.sleep(0.005)
 
+    # Guards against a planner that renews leases and starts tasks after its machine was
+    # suspended, since a clock did not count the time in which others took over.
+    async def test_planner_has_no_authority_after_its_machine_was_suspended(
+        self,
+    ) -> None:
+        machine = SuspendableMachine()
+        self.process._election.voters = frozenset({"10.0.0.2:1"})
+        with mock.patch("time.clock_gettime", machine.clock_gettime):
+            self.begin_term(5)
+            (await self.wait_for_load(1)).set()
+            planner = await self.wait_until_ready()
+            self.assertTrue(self.process._has_authority())
+            self.assertTrue(planner.has_lease_authority)
+            machine.suspended_s = 5.0
+            self.assertFalse(self.process._has_authority())
+            self.assertFalse(planner.has_lease_authority)
+            self.assertGreater(planner.measure_without_authority_s(), 3.0)
+
     # Guards against a process that goes on serving while a task of it has ended, and so
     # follows neither the configuration nor the election any more.
     async def test_lasting_task_is_restarted_after_an_error(self) -> None:
