Name the term in the release of a claim

The store may carry out an append seconds after its caller gave up. A release is appended without a condition and named only the member, so one that comes late ended whatever term that member held by then: the others claim at once, while the planner relies on its last renewal for up to 0.9 s more.

Change: a release names the number of its term, and ends no other one. A release of an older build, which names none, ends the newest term as before. Builds without the field ignore the longer record, and claim after the silence in place of at once.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
@@ -84,8 +84,8 @@
     :param address: address at which the member accepts streams from other members
     :param wall_ms: Unix time of writing, in milliseconds
     :param voters: addresses of the planner's voters, in a renewal that names them
-    :param term: number of the term that is renewed, if voters are named, as the record
-        of the claim may have been deleted; 0 if it is not told
+    :param term: number of the term that is released, or renewed if voters are named,
+        as the record of the claim may have been deleted; 0 if it is not told
     """
 
     action: ElectionAction
@@ -203,13 +203,21 @@
         is_holder = self.term is not None and record.member == self.term.member
         if is_holder and record.action is ElectionAction.RENEW:
             self._abdicated_at = float("-inf")  # it can write again
-        if record.action is ElectionAction.RELEASE and (
-            is_holder or self._is_term_unknown
-        ):
+        if record.action is ElectionAction.RELEASE and self._is_newest_release(record):
             self.term = None
             self._is_term_unknown = False
             self._released_at = now
 
+    def _is_newest_release(self, release: ElectionRecord) -> bool:
+        """Whether a release ends the newest term; it may be stored after a later claim.
+
+        One that does not tell its term ends the newest one of its member.
+        """
+        term = self.term
+        if term is None:
+            return self._is_term_unknown
+        return term.member == release.member and release.term in (0, term.number)
+
     def _adopt(self, term: Term) -> None:
         self.term = term
         self._newest_number = max(self._newest_number, term.number)
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/elections.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/elections.py
@@ -276,7 +276,8 @@
         record.address,
         record.wall_ms,
     ]
-    if record.voters is not None:
+    is_release = record.action is ElectionAction.RELEASE and record.term
+    if record.voters is not None or is_release:
         plain += [record.voters, record.term]
     return bytes(msgpack.packb(plain))
 
@@ -291,9 +292,9 @@
         if not rest:
             return record
         voters, term = rest
-        return replace(
-            record, voters=tuple(str(voter) for voter in voters), term=int(term)
-        )
+        if voters is not None:
+            voters = tuple(str(voter) for voter in voters)
+        return replace(record, voters=voters, term=int(term))
     except (ValueError, TypeError) as error:
         log.write("election_record_ignored", reason=str(error))
         return None
--- a/tests/planner/test_election.py
+++ b/tests/planner/test_election.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 
 from jacinthloom_core.planner.election import (
     AUTHORITY_S,
     CLAIM_AFTER_S,
     DEFER_S,
+    OLDER_MEMBER_DELAY_S,
     SUSPECT_CLAIM_AFTER_S,
     Election,
     ElectionAction,
@@ -151,6 +153,20 @@
         election.on_read([(1, release)], 2, 0.3)
         self.assertTrue(election.may_claim(0.3))
 
+    # Guards against two planners at a time after the release of an earlier term, which
+    # the store carried out late, ended a later term of the same member.
+    def test_late_release_of_an_earlier_term_is_ignored(self) -> None:
+        election = make_follower(0.2)
+        election.on_read([(1, CLAIM)], 2, 0.3)
+        release = ElectionRecord(ElectionAction.RELEASE, "m1", "10.0.0.1:1", term=1)
+        election.on_read([(2, release)], 3, 0.4)
+        self.assertFalse(election.may_claim(0.4))
+        self.assertIsNotNone(election.term)
+        election.on_read([(3, replace(release, term=2))], 4, 0.5)
+        self.assertIsNone(election.term)
+        election.on_read([], 4, 0.5 + OLDER_MEMBER_DELAY_S)
+        self.assertTrue(election.may_claim(0.5 + OLDER_MEMBER_DELAY_S))
+
     def test_unreachable_report_does_not_count_as_a_renewal(self) -> None:
         report = ElectionRecord(ElectionAction.REPORT_UNREACHABLE, "m3", "10.0.0.3:1")
         election = make_follower(0.2)
