Refuse counts of a planner that may have been replaced

A planner that is cut off from the store and from its successor goes on to answer GET PREFIX from its own state, without the jobs that its successor has accepted, for as long as the cut lasts (rule MIXED: under half of them). A DELETE of a job that it does not know got 503 without a reason and without Retry-After.

Change: a planner that has had no authority over leases for a second refuses counts with 503 and Retry-After; counts may be two seconds old. The answers for unknown jobs carry the same reason and header. 410 still needs the claim itself: that the voters answer does not exclude a successor that is none.

Evidence: test_unknown_jobs_and_counts_are_refused_without_authority; before, the DELETE had a Retry-After of 0, and the count got 200.

--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_runner.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_runner.py
@@ -41,6 +41,13 @@
 """Duration of a worker's lease, in seconds, for which its runs continue without the
 planner: longer than an election and loading the records."""
 
+MAX_COUNT_AGE_S = 1.0
+"""Seconds without authority over leases after which this planner no longer counts the
+waiting jobs: counts may be two seconds old, and a successor soon accepts jobs."""
+
+REPLACED_RETRY_AFTER_S = 1
+"""Seconds after which to retry a call that only a successor can answer."""
+
 
 class PlannerRunner:
     """The planner of one term, and its connections.
@@ -264,8 +271,7 @@
         if isinstance(message, messages.Show):
             return self._show(message)
         if isinstance(message, messages.Count):
-            waiting = self._planner.count_waiting(message.queue)
-            return messages.Answer(message.call, 200, waiting=waiting)
+            return self._count(message)
         call = next(self._calls)
         future: asyncio.Future[effects.Reply] = (
             asyncio.get_running_loop().create_future()
@@ -280,10 +286,17 @@
             reply = await future
         finally:
             self._future_by_call.pop(call, None)
-        status = reply.status
-        if status == 410 and not self._has_authority():
-            status = 503
-        return messages.Answer(message.call, status, reply.reason, reply.retry_after_s)
+        if reply.status == 410 and not self._has_authority():
+            return _refuse_as_replaced(message)
+        return messages.Answer(
+            message.call, reply.status, reply.reason, reply.retry_after_s
+        )
+
+    def _count(self, message: messages.Count) -> messages.Answer:
+        if self.measure_without_authority_s() > MAX_COUNT_AGE_S:
+            return _refuse_as_replaced(message)
+        waiting = self._planner.count_waiting(message.queue)
+        return messages.Answer(message.call, 200, waiting=waiting)
 
     def _show(self, message: messages.Show) -> messages.Answer:
         state = self._planner.find_job_state(message.job)
@@ -291,8 +304,7 @@
             return messages.Answer(message.call, 200, state=state)
         if self._has_authority():
             return messages.Answer(message.call, 410)
-        reason = "whether the job exists is unknown: this planner may be replaced"
-        return messages.Answer(message.call, 503, reason, 1)
+        return _refuse_as_replaced(message)
 
     def _resolve_call(self, reply: effects.Reply) -> None:
         future = self._future_by_call.get(reply.call)
@@ -404,5 +416,10 @@
         )
 
 
+def _refuse_as_replaced(call: messages.PlannerCall) -> messages.Answer:
+    reason = "this planner may have been replaced, and does not know the newest jobs"
+    return messages.Answer(call.call, 503, reason, REPLACED_RETRY_AFTER_S)
+
+
 def _wall_ms() -> int:
     return int(time.time() * 1000)
--- a/tests/test_planner_runner.py
+++ b/tests/test_planner_runner.py
@@ -15,6 +15,7 @@
 from jacinthloom_core.planner.rules import Queue, Rules
 from jacinthloom_core.planner.specs import TaskId
 from jacinthloom_core.planner.state import PlannerSettings
+from jacinthloom_daemon.hosted import clock, messages
 from jacinthloom_daemon.hosted.planner_runner import PlannerRunner
 from jacinthloom_daemon.metrics import LatencyHistogram
 from jacinthloom_daemon.platform.errors import UnavailableError
@@ -67,11 +68,12 @@
 class PlannerRunnerTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         self.refusals = 0
+        self.has_authority = True
         self.runner = PlannerRunner(
             cast("Any", BrokenStore()),
             PlannerSettings(1, 6.0, 120.0),
             lambda request: None,
-            lambda: True,
+            lambda: self.has_authority,
             LeaseAuthority("10.0.0.9:1", None, True, 0.0),
             LatencyHistogram("append_seconds", "help"),
             self.count_refusal,
@@ -122,6 +124,21 @@
                 await self.wait_for_failures(number + 1)
         self.assertFalse(self.runner.ended.is_set())
 
+    # Guards against answers from the state of a planner that may have been replaced: it
+    # knows none of the jobs that its successor has accepted.
+    async def test_unknown_jobs_and_counts_are_refused_without_authority(self) -> None:
+        calls = (messages.Show(1, "a" * 16), messages.Cancel(2, "a" * 16))
+        count = messages.Count(3, "q")
+        self.runner.lease_authority.on_renewed(clock.now(), None)
+        for call in calls:
+            self.assertEqual((await self.runner.call(call)).status, 410)
+        self.assertEqual((await self.runner.call(count)).status, 200)
+        self.has_authority = False
+        self.runner.lease_authority.on_renewed(clock.now() - 5.0, None)
+        for call in (*calls, count):
+            answer = await self.runner.call(call)
+            self.assertEqual((answer.status, answer.retry_after_s), (503, 1))
+
     # Guards against a batch that is larger than one append may be, and is refused for
     # good; and against jobs that count as refused though their records are stored.
     async def test_large_batch_is_stored_in_several_appends(self) -> None:
