Name the term in the report of an unreachable planner

A report that the planner can't be reached is appended without a condition and named no planner. One that the store carries out after a later claim counted against the new planner, which no member has reached yet: with one report and no connection it hands over at once, and claims nothing for 4 s.

Change: a report names the term that it is about, and counts in no other one. Reports of older builds, which name none, count as before.

Evidence: test_late_report_about_an_earlier_planner_is_ignored (before: the new planner counts as unreachable), test_report_names_its_term.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
@@ -84,8 +84,8 @@
     :param address: address at which the member accepts streams from other members
     :param wall_ms: Unix time of writing, in milliseconds
     :param voters: addresses of the planner's voters, in a renewal that names them
-    :param term: number of the term that is released, or renewed if voters are named,
-        as the record of the claim may have been deleted; 0 if it is not told
+    :param term: number of the term that is released or reported, or renewed if voters
+        are named, as the record of the claim may have been deleted; 0 if it is not told
     """
 
     action: ElectionAction
@@ -189,7 +189,8 @@
 
     def _apply(self, offset: int, record: ElectionRecord, now: float) -> None:
         if record.action is ElectionAction.REPORT_UNREACHABLE:
-            self._report_time_by_member[record.member] = now
+            if self.term is not None and record.term in (0, self.term.number):
+                self._report_time_by_member[record.member] = now
             return
         if record.action is ElectionAction.CLAIM:
             self._report_time_by_member.clear()
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/elections.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/elections.py
@@ -276,8 +276,8 @@
         record.address,
         record.wall_ms,
     ]
-    is_release = record.action is ElectionAction.RELEASE and record.term
-    if record.voters is not None or is_release:
+    is_short = record.action in (ElectionAction.CLAIM, ElectionAction.RENEW)
+    if record.voters is not None or (record.term and not is_short):
         plain += [record.voters, record.term]
     return bytes(msgpack.packb(plain))
 
--- a/tests/planner/test_election.py
+++ b/tests/planner/test_election.py
@@ -205,6 +205,19 @@
         planner.on_read([(2, release)], 3, 0.7)
         self.assertFalse(planner.may_claim(1.2))
 
+    # Guards against a new planner that hands over at once, since a report about the one
+    # before it is stored after its claim, when no member has connected yet.
+    def test_late_report_about_an_earlier_planner_is_ignored(self) -> None:
+        planner = Election("m1", "10.0.0.1:1")
+        planner.on_read([(0, replace(CLAIM, member="m2"))], 1, 0.0)
+        planner.on_claimed(1, 0.4)
+        action = ElectionAction.REPORT_UNREACHABLE
+        report = ElectionRecord(action, "m3", "10.0.0.3:1", term=1)
+        planner.on_read([(2, report)], 3, 0.5)
+        self.assertFalse(planner.is_unreachable(0, 0.6))
+        planner.on_read([(3, replace(report, term=2))], 4, 0.7)
+        self.assertTrue(planner.is_unreachable(0, 0.8))
+
     def test_older_members_defer_the_claim_to_younger_ones(self) -> None:
         older = Election("m2", "10.0.0.2:1")
         older.on_read([], 0, 0.0)
--- a/tests/test_elections.py
+++ b/tests/test_elections.py
@@ -6,7 +6,7 @@
 from typing import Any, cast
 
 import msgpack
-from jacinthloom_core.planner.election import Election, ElectionAction
+from jacinthloom_core.planner.election import Election, ElectionAction, ElectionRecord
 from jacinthloom_daemon.hosted import elections
 from jacinthloom_daemon.hosted.elections import ElectionFollower
 
@@ -42,6 +42,15 @@
         assert record is not None
         self.assertEqual((record.action, record.term), (ElectionAction.RELEASE, 7))
 
+    # Guards against the same for a report that the planner is unreachable.
+    async def test_report_names_its_term(self) -> None:
+        claim = ElectionRecord(ElectionAction.CLAIM, "m2", "10.0.0.2:1")
+        self.election.on_read([(6, claim)], 7, 0.0)
+        await self.follower.report_unreachable_planner()
+        record = elections.decode(self.store.records[-1])
+        assert record is not None
+        self.assertEqual(record.term, 7)
+
     # Guards against releases of builds that did not name the term, which would be
     # ignored during an update.
     def test_record_without_a_term_is_decoded(self) -> None:
