Ignore failed renewals of a term that is over

A renewal may be in flight for most of a second. If its term ends meanwhile and the same member claims again, the failure of the old renewal took away the authority of the new term, and told all members that its planner can't write, so that they claim at once.

Change: a renewal that fails after its term has ended changes nothing.

Evidence: test_failed_renewal_of_an_earlier_term_is_ignored (before: one abdication, and no authority in the new term).

--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/elections.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/elections.py
@@ -174,6 +174,8 @@
             try:
                 offset = await self._append(ElectionAction.RENEW, voters=voters)
             except PlatformError as error:
+                if self._election.term != term:
+                    return
                 failures += 1
                 if failures == 1:
                     failed_at = sent_at
--- a/tests/test_elections.py
+++ b/tests/test_elections.py
@@ -2,25 +2,43 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
-from typing import Any, cast
+from typing import TYPE_CHECKING, Any, cast
 
 import msgpack
 from jacinthloom_core.planner.election import Election, ElectionAction, ElectionRecord
-from jacinthloom_daemon.hosted import elections
-from jacinthloom_daemon.hosted.elections import ElectionFollower
+from jacinthloom_core.planner.lease_authority import LeaseAuthority
+from jacinthloom_daemon.hosted import clock, elections
+from jacinthloom_daemon.hosted.elections import ABDICATE_AFTER_S, ElectionFollower
+from jacinthloom_daemon.platform.errors import UnavailableError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+FAILURE_S = ABDICATE_AFTER_S / 2 + 0.05
+"""Seconds until an append fails: a planner abdicates after two."""
 
 
 class RecordingStore:
-    """A store that takes every append.
+    """A store that takes every append, but for some failures.
 
     :ivar records: records of all appends
+    :ivar failures: number of appends that fail first
+    :ivar on_append: called with each append
     """
 
     def __init__(self) -> None:
         self.records: list[bytes] = []
+        self.failures = 0
+        self.on_append: Callable[[], None] = lambda: None
 
     async def append(self, topic: str, records: list[bytes], **options: Any) -> int:
+        self.on_append()
+        if self.failures:
+            self.failures -= 1
+            await asyncio.sleep(FAILURE_S)
+            raise UnavailableError("timed out", is_outcome_unknown=True)
         self.records += records
         return len(self.records) - 1
 
@@ -29,10 +47,17 @@
     def setUp(self) -> None:
         self.store = RecordingStore()
         self.election = Election("m1", "10.0.0.1:1")
+        self.abdications = 0
         self.follower = ElectionFollower(
-            cast("Any", self.store), self.election, lambda term: None, lambda: None
+            cast("Any", self.store),
+            self.election,
+            lambda term: None,
+            self.count_abdication,
         )
 
+    def count_abdication(self) -> None:
+        self.abdications += 1
+
     # Guards against a release that may end any later term of the same member, as the
     # store may carry it out seconds late.
     async def test_release_names_its_term(self) -> None:
@@ -42,6 +67,23 @@
         assert record is not None
         self.assertEqual((record.action, record.term), (ElectionAction.RELEASE, 7))
 
+    # Guards against a term that is given up for a failed renewal of the one before it,
+    # whose call was in flight as the same member claimed again.
+    async def test_failed_renewal_of_an_earlier_term_is_ignored(self) -> None:
+        self.election.on_claimed(0, clock.now())
+        self.store.failures = 2
+        self.store.on_append = lambda: self.claim_again_after(1)
+        lease_authority = LeaseAuthority("10.0.0.1:1", None, True, clock.now())
+        async with asyncio.timeout(5):
+            await self.follower.renew(lease_authority)
+        self.assertEqual(self.abdications, 0)
+        self.assertTrue(self.election.has_authority(clock.now()))
+
+    def claim_again_after(self, failures: int) -> None:
+        """Claim the next term once so many appends are left to fail."""
+        if self.store.failures == failures:
+            self.election.on_claimed(9, clock.now())
+
     # Guards against the same for a report that the planner is unreachable.
     async def test_report_names_its_term(self) -> None:
         claim = ElectionRecord(ElectionAction.CLAIM, "m2", "10.0.0.2:1")
