Release a claim that succeeds after the stop has begun

A process that is stopped while its claim is in flight hands over nothing, as it does not plan yet. It then planned until its end, for up to five seconds, and ended without a release: the calls that it held were lost, and the others claimed only after its silence.

Change: a stopping process releases such a claim at once, and does not plan.

Evidence: test_stopping_process_releases_a_claim_that_comes_late (before: it plans).

--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
@@ -234,6 +234,10 @@
             log.write("term_repeated", number=term.number)
             return
         self._last_planned_term = term.number
+        if self._stopping.is_set():
+            # The claim was in flight when the stop began.
+            self._spawn(self._election_follower.release())
+            return
         election = self._election
         lease_authority = LeaseAuthority(
             election.address, election.voters, election.is_voter, clock.now()
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -26,13 +26,16 @@
     """A store whose job records can be read only when the test lets them.
 
     :ivar fence: epoch of the latest producer
+    :ivar topics: topic of each append
     """
 
     def __init__(self) -> None:
         self.fence = 0
         self.loads: list[asyncio.Event] = []
+        self.topics: list[str] = []
 
     async def append(self, topic: str, *args: object, **kwargs: Any) -> int:
+        self.topics.append(topic)
         producer = kwargs.get("producer")
         if producer is not None:
             if producer.epoch < self.fence:
@@ -150,6 +153,15 @@
         self.process._on_zones(frozenset())
         self.assertEqual(state.zones_out, frozenset())
 
+    # Guards against a process that plans from its stop to its end, and then takes the
+    # term with it, as its claim was in flight when it was stopped.
+    async def test_stopping_process_releases_a_claim_that_comes_late(self) -> None:
+        self.process._stopping.set()
+        self.begin_term(5)
+        await asyncio.sleep(0.05)
+        self.assertIsNone(self.process._runner)
+        self.assertEqual(self.store.topics, [topics.ELECTION])
+
     # Guards against changes that are lost in the moments around the load: before it
     # begins, and for the second of two terms.
     async def test_changes_between_two_terms_are_in_force(self) -> None:
