Leave claims and handovers to voters where one is a candidate

After faults, small hosts handed the term over in a ring, each time with about 1.2 s without a planner: the only large host was no voter and claimed no sooner than they did. Also, a planner could rely on its voters before any renewal of its term was stored.

Cause: one delay stood for both reasons to wait, and handovers looked at size alone. Change: the delays of small hosts and of hosts that are no voters add up; a planner hands over only to a larger host that is a voter; voters count after the first stored renewal.

Evidence: test_small_host_that_is_no_voter_defers_its_claim_longest and test_host_that_is_no_voter_is_not_handed_over_to; both fail on the commit before.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
@@ -50,7 +50,8 @@
 """Share of the largest known host's processors from which a host counts as large."""
 
 DEFER_S = 0.5
-"""Seconds by which a smaller host delays its claim in favour of larger ones."""
+"""Seconds by which a smaller host delays its claim in favour of larger ones, and a host
+that is no voter in favour of voters."""
 
 MIN_TERM_BEFORE_HANDOVER_S = 3.0
 """Minimum seconds that a planner keeps its term before it hands over to a larger host:
@@ -271,8 +272,7 @@
 
     @property
     def _defer_s(self) -> float:
-        is_deferred = self.has_larger_alternative or not self.is_voter
-        return DEFER_S if is_deferred else 0.0
+        return DEFER_S * (self.has_larger_alternative + (not self.is_voter))
 
     def compute_claim_wait_s(self, now: float) -> float:
         """Return how many more seconds of silence allow this member to claim."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/lease_authority.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/lease_authority.py
@@ -78,7 +78,7 @@
         self._answered_ping_by_address: dict[str, float] = {}
         """Time of sending of the newest ping that each host has answered."""
         self._listed_at = float("-inf")
-        self._renewed_at = claimed_at
+        self._renewed_at = float("-inf")
         self._relied_on_from = float("-inf")
 
     def on_connected(self, address: str) -> None:
@@ -120,6 +120,10 @@
             if is_eligible and now - lost_at < VOTER_RETENTION_S:
                 yield address
 
+    def may_succeed(self, address: str) -> bool:
+        """Whether a planner at an address would know whose leases are renewed."""
+        return self._stored_voters is None or address in self._stored_voters
+
     def list_silent_voters(self, now: float) -> list[str]:
         """Return the voters to query, as they are not connected and answer no pings.
 
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_server.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_server.py
@@ -88,9 +88,9 @@
         self.broadcast(members)
 
     def find_largest_processors(self) -> float:
-        """Return the processors of the largest connected host with store access."""
+        """Return the processors of the largest connected host that can take over."""
         sessions = self._session_by_member.values()
-        return max((s.processors for s in sessions if s.reaches_store), default=0.0)
+        return max((s.processors for s in sessions if s.can_take_over), default=0.0)
 
     def _build_term_response(self) -> messages.KnownTerm:
         term = self._election.term
@@ -190,6 +190,12 @@
         self.processors = hello.processors
         self.reaches_store = True
 
+    @property
+    def can_take_over(self) -> bool:
+        return self.reaches_store and self.runner.lease_authority.may_succeed(
+            self.address
+        )
+
     def send(self, message: messages.AnyMessage) -> None:
         self._writer.write(messages.encode(message))
 
--- a/tests/planner/test_election.py
+++ b/tests/planner/test_election.py
@@ -110,6 +110,22 @@
         small.on_read([], 1, now)
         self.assertTrue(small.may_claim(now))
 
+    # Guards against planners that hand over in a ring: the large host is no voter, and
+    # small voters claimed at the same time as it.
+    def test_small_host_that_is_no_voter_defers_its_claim_longest(self) -> None:
+        voters = replace(RENEWAL, voters=("10.0.0.9:1",), term=1)
+        waits = []
+        for address in ("10.0.0.9:1", "10.0.0.2:1"):
+            for processors in (2.0, 0.5):
+                election = Election("m2", address, processors)
+                election.largest_processors = 2.0
+                election.on_read([(0, CLAIM), (1, voters)], 2, 0.0)
+                waits.append(election.compute_claim_wait_s(0.0) - CLAIM_AFTER_S)
+        for wait, expected in zip(
+            waits, (0.0, DEFER_S, DEFER_S, 2 * DEFER_S), strict=True
+        ):
+            self.assertAlmostEqual(wait, expected)
+
     def test_host_of_similar_size_does_not_defer_its_claim(self) -> None:
         election = make_follower(1.2)
         election.processors, election.largest_processors = 1.0, 1.1
--- a/tests/test_planner_streams.py
+++ b/tests/test_planner_streams.py
@@ -8,7 +8,7 @@
 
 from jacinthloom_core.planner.election import Election, Term
 from jacinthloom_core.planner.lease_authority import LeaseAuthority
-from jacinthloom_daemon.hosted import messages
+from jacinthloom_daemon.hosted import clock, messages
 from jacinthloom_daemon.hosted.client_handler import ClientHandler
 from jacinthloom_daemon.hosted.planner_client import PlannerClient
 from jacinthloom_daemon.hosted.planner_server import PlannerServer
@@ -163,7 +163,7 @@
     def name_voters(self) -> tuple[LeaseAuthority, float]:
         """Let the planner rely on its members alone, from now on."""
         authority = self.planner.lease_authority
-        now = asyncio.get_running_loop().time()
+        now = clock.now()
         authority.on_renewed(now, tuple(member.address for member in self.members))
         authority.abdicate()
         return authority, now
@@ -217,6 +217,15 @@
         self.assertEqual(planner.learned_terms[0].number, 9)
         self.assertFalse(await client.knows_no_later_planner("127.0.0.1:9"))
 
+    # Guards against a planner that hands over to a host that does not know whose leases
+    # are renewed, and would wait two minutes for workers out of reach.
+    async def test_host_that_is_no_voter_is_not_handed_over_to(self) -> None:
+        await self.connect()
+        now = clock.now()
+        voters = (self.members[0].address, self.members[2].address)
+        self.planner.lease_authority.on_renewed(now, voters)
+        self.assertEqual(self.members[0].server.find_largest_processors(), 0.5)
+
 
 if __name__ == "__main__":
     unittest.main()
