Let repeated abdications neither postpone claims nor interrupt reads

Cause: it abdicates every 0.15 s. Each message moved the time from which a small host, or one that is no voter, defers its claim, and cancelled the read in flight, so that the member soon counted as one that does not read the log.

Change: Election.on_abdicated tells whether the abdication is the first in a while, and only then a claim is checked at once; repetitions change nothing.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
@@ -307,10 +307,18 @@
         self._suspect_term = term
         return is_first
 
-    def on_abdicated(self, term: int, now: float) -> None:
-        """Record that the planner of a term can't write to the store."""
-        if self.term is not None and self.term.number == term:
-            self._abdicated_at = now
+    def on_abdicated(self, term: int, now: float) -> bool:
+        """Record that the planner of a term can't write to the store.
+
+        Repetitions do not postpone a claim that is deferred.
+
+        :returns: whether this is the first time in a while
+        """
+        is_newest = self.term is not None and self.term.number == term
+        if not is_newest or now - self._abdicated_at < ABDICATION_S:
+            return False
+        self._abdicated_at = now
+        return True
 
     def abdicate(self) -> None:
         """Give up authority until the next successful renewal."""
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_client.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_client.py
@@ -257,8 +257,8 @@
                     self._spawn_advice(message)
                 elif isinstance(message, messages.Abdicated):
                     log.write("planner_abdicated", term=message.term)
-                    self._election.on_abdicated(message.term, clock.now())
-                    self._check_claim()
+                    if self._election.on_abdicated(message.term, clock.now()):
+                        self._check_claim()
         finally:
             pings.cancel()
 
--- a/tests/planner/test_election.py
+++ b/tests/planner/test_election.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 
 from jacinthloom_core.planner.election import (
+    ABDICATION_S,
     AUTHORITY_S,
     CLAIM_AFTER_S,
     DEFER_S,
@@ -95,6 +96,15 @@
         planner.abdicate()
         self.assertFalse(planner.has_authority(0.1))
 
+    # Guards against a deferred claim that each abdication postpones, and against reads
+    # that each of them interrupts.
+    def test_repeated_abdication_is_told_once_in_a_while(self) -> None:
+        election = make_follower(0.4)
+        self.assertTrue(election.on_abdicated(1, 0.4))
+        self.assertFalse(election.on_abdicated(1, 0.6))
+        self.assertTrue(election.on_abdicated(1, 0.5 + ABDICATION_S))
+        self.assertFalse(election.on_abdicated(7, 9.0))
+
     def test_abdication_of_another_term_is_ignored(self) -> None:
         election = make_follower(0.4)
         election.on_abdicated(7, 0.4)
