Measure the time without authority from its loss

When the store failed while one voter had been lost for 5 s, all hosts turned unready and counts were refused at once, in place of after 1.5 s and 1 s.

Cause: the time was measured from the end of the newest authority that the answers gave, which after an abdication lies as far back as the oldest answer. Change: it is measured from the last tick with authority. Evidence: test_time_without_authority_begins_when_it_is_lost fails on the commit before; the test of refused counts now also moves that time back, as it simulates a loss long ago.

--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_runner.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_runner.py
@@ -86,6 +86,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._flush_timer: asyncio.TimerHandle | None = None
         self._had_authority = False
+        self._had_authority_at = clock.now()
         self.is_ready = asyncio.Event()
         self.ended = asyncio.Event()
         self._appender = BatchAppender(
@@ -135,6 +136,8 @@
     def _note_authority(self) -> None:
         """Log that authority over leases was lost or regained."""
         has_authority = self.has_lease_authority
+        if has_authority:
+            self._had_authority_at = clock.now()
         if has_authority != self._had_authority:
             self._had_authority = has_authority
             self._log_authority(
@@ -195,11 +198,13 @@
     @property
     def has_lease_authority(self) -> bool:
         """Whether leases may be renewed now."""
-        return not self.measure_without_authority_s()
+        return clock.now() <= self.lease_authority.compute_until()
 
     def measure_without_authority_s(self) -> float:
         """Return for how many seconds there has been no authority over leases."""
-        return max(0.0, clock.now() - self.lease_authority.compute_until())
+        if self.has_lease_authority:
+            return 0.0
+        return clock.now() - self._had_authority_at
 
     # Events
 
--- a/tests/test_planner_runner.py
+++ b/tests/test_planner_runner.py
@@ -124,6 +124,17 @@
                 await self.wait_for_failures(number + 1)
         self.assertFalse(self.runner.ended.is_set())
 
+    # Guards against hosts that turn unready, and counts that are refused, as soon as
+    # the store fails: a voter has not answered for long, but authority was lost just now.
+    async def test_time_without_authority_begins_when_it_is_lost(self) -> None:
+        authority = self.runner.lease_authority
+        authority.on_renewed(clock.now(), ("10.0.0.9:1", "10.0.0.8:1"))
+        self.runner._note_authority()
+        authority.on_ping_answered("10.0.0.8:1", clock.now() - 5.0)
+        authority.abdicate()
+        self.assertFalse(self.runner.has_lease_authority)
+        self.assertLess(self.runner.measure_without_authority_s(), 0.5)
+
     # Guards against answers from the state of a planner that may have been replaced: it
     # knows none of the jobs that its successor has accepted.
     async def test_unknown_jobs_and_counts_are_refused_without_authority(self) -> None:
@@ -135,6 +146,7 @@
         self.assertEqual((await self.runner.call(count)).status, 200)
         self.has_authority = False
         self.runner.lease_authority.on_renewed(clock.now() - 5.0, None)
+        self.runner._had_authority_at -= 5.0
         for call in (*calls, count):
             answer = await self.runner.call(call)
             self.assertEqual((answer.status, answer.retry_after_s), (503, 1))
