Simulate claims, voters and answered pings, and pass the authority over leases

With the authority over leases the planner lets leases lapse; the simulation has to draw what this authority relies on.

Change: testkit/planning/claims.py has two hosts in each zone. They claim by the log, renew with the voters that LeaseAuthority chooses, and answer pings unless they plan or are cut off. A twentieth of the renewals is stored without an answer. Each planner process has the LeaseAuthority of the planner's core, which Tick passes on, and waits for its predecessor as long as that says. A cut that leaves all workers to both sides is one from the store alone, and keeps the members. Half of the freezes of a planner that is cut off begin within 0.5 s of the cut.

--- a/testkit/planning/world.py
+++ b/testkit/planning/world.py
@@ -18,6 +18,7 @@
 from jacinthloom_core.planner.specs import JobSpec, StepSpec
 from jacinthloom_core.planner.state import PlannerSettings
 
+from .claims import Claims
 from .clock import VirtualClock
 from .rule_checker import RuleChecker
 from .worker import DEADLY_PAYLOAD, LONG_PAYLOAD, GangRegistry, VirtualWorker
@@ -34,6 +35,7 @@
 FAULTS_END_S = 25.0
 """Virtual time up to which jobs arrive and faults occur."""
 SCENARIO_END_S = 90.0
+MAX_OUTAGE_S = 25.0
 MAX_ATTEMPTS = 2
 CLIENT_ACCOUNT_LIMIT = 3_000
 """Limit of each client account, in millicores."""
@@ -69,7 +71,8 @@
     :param drains: number of times that a worker drains for a while
     :param zone_cuts: number of times that an availability zone is cut off for a while;
         elections then follow the election log
-    :param store_outages: number of times that the store is down for 6 to 25 seconds
+    :param store_outages: number of times that the store is down for longer than a lease
+    :param min_outage_s: minimum seconds of such an outage
     :param long: share of jobs with tasks that run for up to 24 seconds
     :param end_s: virtual time by which every accepted job must have ended
     """
@@ -90,6 +93,7 @@
     drains: int = 0
     zone_cuts: int = 0
     store_outages: int = 0
+    min_outage_s: float = LEASE_S
     long: float = 0.0
     end_s: float = SCENARIO_END_S
 
@@ -119,28 +123,20 @@
 
 
 class PlannerProcess:
-    """The process of a planner in one term.
+    """The process of a planner in one term."""
 
-    :ivar renewed_at: time at which it has sent the last renewal of its claim that was
-        stored
-    :ivar yielded_until: time until which it relies on members that can't read the
-        election log
-    """
-
-    def __init__(
-        self, world: World, term: int, load: bool = True, zone: str = ZONES[0]
-    ) -> None:
+    def __init__(self, world: World, term: int, host: str, load: bool = True) -> None:
         self._world = world
         self.term = term
-        self.zone = zone
-        self.renewed_at = world.clock.now
-        self.yielded_until = float("-inf")
+        self.claim = world.claims.begin(host)
         self.is_alive = True
         self.is_frozen = False
         self.has_authority = True
         """Whether it may send starts; lost if another was elected during a freeze."""
         self._deferred: deque[Callable[[], None]] = deque()
-        settings = PlannerSettings(term, LEASE_S, 120.0)
+        settings = PlannerSettings(
+            term, LEASE_S, 120.0, predecessor_s=self.claim.lease_authority.predecessor_s
+        )
         self.planner = world.make_planner(settings)
         now = world.clock.now
         world.store.term = term
@@ -172,8 +168,8 @@
 
     def _tick(self) -> None:
         now = self._world.clock.now
-        self._world.zone_cuts.renew(self)
-        until = self._world.compute_lease_authority(self)
+        self._world.claims.on_tick(self)
+        until = self.claim.lease_authority.compute_until()
         self.handle(events.Tick(now, int(now * 1000), until))
         if self.is_alive:
             self._world.clock.after(TICK_S, lambda: self.run(self._tick))
@@ -210,6 +206,7 @@
         self._timed_random = Random(f"timed {scenario.seed}")
         self._change_random = Random(f"change {scenario.seed}")
         self._outage_random = Random(f"outage {scenario.seed}")
+        self.claims = Claims(self, scenario.seed, ZONES)
         self.zone_cuts = ZoneCuts(self, scenario.seed, ZONES, scenario.zone_cuts)
         self.zones_out: set[str] = set()
         self._draining_workers: set[str] = set()
@@ -289,7 +286,9 @@
         for _ in range(self.scenario.store_outages):
             delay_s = self._outage_random.uniform(1, FAULTS_END_S)
             self.clock.after(delay_s, self._begin_outage)
-        self.zone_cuts.schedule(FAULTS_END_S)
+        if self.zone_cuts.is_enabled:
+            self.zone_cuts.schedule(FAULTS_END_S)
+            self.claims.watch()
         self._enforce_leases()
         self.clock.run_until(self.scenario.end_s)
         self._check_final_states()
@@ -332,21 +331,13 @@
             return
         if previous is not None and previous.is_alive and not previous.is_frozen:
             self.clock.after(self.random.uniform(0, 2), lambda: _kill_process(previous))
-        self.elect(ZONES[0])
+        self.elect(self.claims.choose_host(ZONES[:1]))
 
-    def elect(self, zone: str) -> None:
-        """Start the planner of the next term in an availability zone."""
+    def elect(self, host: str) -> None:
+        """Start the planner of the next term on a host."""
         self._term += 1
-        self.current_process = PlannerProcess(self, self._term, zone=zone)
-        self.zone_cuts.add_process(self.current_process)
-
-    def compute_lease_authority(self, process: PlannerProcess) -> float:
-        """Return the time until which a planner has authority over leases.
-
-        No other planner takes leases as expired before. While the store is away for
-        all, and no member is cut off, the time moves on.
-        """
-        return max(process.renewed_at + AUTHORITY_S, process.yielded_until)
+        self.current_process = PlannerProcess(self, self._term, host)
+        self.claims.add_process(self.current_process)
 
     def _submit_random_job(self) -> None:
         job = f"{self.random.getrandbits(64):016x}"
@@ -564,7 +555,8 @@
     def _begin_outage(self) -> None:
         self.store.is_down = True
         self.store.refuses_batches = self._outage_random.random() < 0.5
-        self.clock.after(self._outage_random.uniform(6, 25), self._restore_store)
+        outage_s = self._outage_random.uniform(self.scenario.min_outage_s, MAX_OUTAGE_S)
+        self.clock.after(outage_s, self._restore_store)
 
     def _restore_store(self) -> None:
         self.store.is_down = False
@@ -694,7 +686,7 @@
 
     def _may_start(self, process: PlannerProcess) -> bool:
         if self.zone_cuts.is_enabled:
-            return self.zone_cuts.may_start(process)
+            return self.clock.now < process.claim.renewed_at + AUTHORITY_S
         return process.has_authority
 
     def _draws_withheld_start(self) -> bool:
--- a/testkit/planning/zone_cuts.py
+++ b/testkit/planning/zone_cuts.py
@@ -7,26 +7,12 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from jacinthloom_core.planner.election import AUTHORITY_S, CLAIM_AFTER_S, RENEW_S
-
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from .worker import VirtualWorker
     from .world import PlannerProcess, World
 
-WATCH_INTERVAL_S = 0.05
-"""Seconds between two looks of the members at the election log."""
-
-YIELD_RELIED_S = 1.4
-"""Seconds for which a planner relies on members that can't read the election log."""
-
-MAX_CLAIM_DELAY_S = 1.5
-"""Maximum seconds by which a member claims later than it may."""
-
-MAX_NOTICE_S = 1.0
-"""Maximum seconds until a planner that reaches the store learns of a later claim."""
-
 UNLISTED_AFTER_S = 4.5
 """Seconds after which the entry of a worker that does not reach the store expires."""
 
@@ -48,11 +34,7 @@
 
 
 class ZoneCuts:
-    """Cuts off one zone at a time, and holds the elections that follow.
-
-    The members of a zone claim once they have read the election log for
-    ``CLAIM_AFTER_S`` without a renewal. An earlier planner lives on until an append or
-    a worker fences it, or until it reaches the store again.
+    """Cuts off one zone at a time.
 
     :ivar cut: the cut that is in effect, if any
     """
@@ -64,11 +46,6 @@
         self._random = Random(f"zone {seed}")
         self._zones = zones
         self._count = count
-        self._processes: list[PlannerProcess] = []
-        """Planner processes that have not ended."""
-        self._readable_since_by_zone = dict.fromkeys(zones, 0.0)
-        self._claim_delay_s = 0.0
-        self._notices_at_by_term: dict[int, float] = {}
         self.cut: ZoneCut | None = None
 
     @property
@@ -77,35 +54,42 @@
         return self._count > 0
 
     def schedule(self, ends_at: float) -> None:
-        """Schedule the cuts, and the elections.
+        """Schedule the cuts.
 
         :param ends_at: time up to which cuts begin
         """
-        if not self.is_enabled:
-            return
         for _ in range(self._count):
             self._world.clock.after(self._random.uniform(1, ends_at), self._begin)
-        self._watch()
 
     def reaches_store(self, process: PlannerProcess) -> bool:
         """Whether a planner has a path to the store."""
-        return self._zone_reaches_store(process.zone)
+        return self.zone_reaches_store(process.claim.zone)
 
-    def _zone_reaches_store(self, zone: str) -> bool:
+    def zone_reaches_store(self, zone: str) -> bool:
+        """Whether the hosts of a zone have a path to the store."""
         return self.cut is None or self.cut.zone != zone or self.cut.reaches_store
 
     def reaches_worker(self, process: PlannerProcess, worker: VirtualWorker) -> bool:
         """Whether a planner and a worker are on the same side of the cut."""
         if self.cut is None or worker.id in self.cut.common_workers:
             return True
-        return (process.zone == self.cut.zone) == (worker.zone == self.cut.zone)
+        return (process.claim.zone == self.cut.zone) == (worker.zone == self.cut.zone)
+
+    def separates(self, zone: str, other: str) -> bool:
+        """Whether the cut is between the hosts of two zones.
+
+        A cut that keeps all workers in reach of both is one from the store alone.
+        """
+        if self.cut is None or len(self.cut.common_workers) >= len(self._world.workers):
+            return False
+        return (zone == self.cut.zone) != (other == self.cut.zone)
 
     def choose_called(self) -> PlannerProcess | None:
         """Return the planner that a call of a client reaches."""
         current = self._world.current_process
         if not self.is_enabled:
             return current
-        earlier = [process for process in self._processes if process is not current]
+        earlier = self._world.claims.earlier_processes
         if earlier and self._random.random() < 0.3:
             return self._random.choice(earlier)
         return current
@@ -118,65 +102,6 @@
         """Draw the seconds until a late order is carried out."""
         return self._random.uniform(0.5, 12)
 
-    # Claims
-
-    def renew(self, process: PlannerProcess) -> None:
-        """Renew the claim of a planner, if that is due and the store takes it."""
-        now = self._world.clock.now
-        store = self._world.store
-        if process.term != store.term:
-            return
-        if store.is_down:
-            if self.cut is None:
-                process.yielded_until = now + YIELD_RELIED_S
-        elif self.reaches_store(process) and now - process.renewed_at >= RENEW_S:
-            process.renewed_at = now
-
-    def may_start(self, process: PlannerProcess) -> bool:
-        """Whether a planner may send starts."""
-        return self._world.clock.now < process.renewed_at + AUTHORITY_S
-
-    def add_process(self, process: PlannerProcess) -> None:
-        """Add the process of a planner that was elected."""
-        self._processes.append(process)
-
-    def _watch(self) -> None:
-        """Hold an election if it is due, and end planners that learn of one."""
-        now = self._world.clock.now
-        for zone in self._zones:
-            if self._world.store.is_down or not self._zone_reaches_store(zone):
-                self._readable_since_by_zone[zone] = now
-        self._processes = [process for process in self._processes if process.is_alive]
-        for process in self._processes:
-            self._notice_claim(process, now)
-        current = self._world.current_process
-        assert current is not None
-        candidates = [
-            zone
-            for zone, since in self._readable_since_by_zone.items()
-            if now - max(since, current.renewed_at)
-            >= CLAIM_AFTER_S + self._claim_delay_s
-        ]
-        if candidates:
-            self._world.elect(self._random.choice(candidates))
-            delay_s = self._random.uniform(0, MAX_CLAIM_DELAY_S)
-            self._claim_delay_s = self._random.choice((0.0, delay_s))
-        self._world.clock.after(WATCH_INTERVAL_S, self._watch)
-
-    def _notice_claim(self, process: PlannerProcess, now: float) -> None:
-        store = self._world.store
-        is_current = process.term == store.term
-        if is_current or store.is_down or not self.reaches_store(process):
-            self._notices_at_by_term.pop(process.term, None)
-            return
-        if process.term not in self._notices_at_by_term:
-            delay_s = self._random.uniform(0, MAX_NOTICE_S)
-            self._notices_at_by_term[process.term] = now + delay_s
-        if now >= self._notices_at_by_term[process.term] and not process.is_frozen:
-            process.is_alive = False
-
-    # Cuts
-
     def _begin(self) -> None:
         clock = self._world.clock
         if self.cut is not None:
@@ -185,7 +110,9 @@
             return
         process = self._world.current_process
         assert process is not None
-        zone = self._random.choice((process.zone, process.zone, *self._zones))
+        zone = self._random.choice(
+            (process.claim.zone, process.claim.zone, *self._zones)
+        )
         duration_s = self._random.uniform(*self._random.choice(DURATION_RANGES_S))
         reaches_store = self._random.random() < 0.1
         common_workers = self._draw_common_workers()
@@ -196,8 +123,9 @@
         self._schedule_expiry(zone, duration_s)
         if self._random.random() < 0.3:
             freeze_s = self._random.uniform(0.5, 8)
+            within_s = self._random.choice((0.5, duration_s))
             clock.after(
-                self._random.uniform(0, duration_s),
+                self._random.uniform(0, within_s),
                 lambda: self._freeze(process, freeze_s),
             )
         if self._random.random() < 0.3:
