--- a/testkit/planning/mutations.py
+++ b/testkit/planning/mutations.py
@@ -8,7 +8,7 @@
 from jacinthloom_core.planner import effects, events
 from jacinthloom_core.planner.events import StartOutcome
 from jacinthloom_core.planner.jobs import TaskState
-from jacinthloom_core.planner.planner import Planner
+from jacinthloom_core.planner.planner import TICK_S, Planner
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -199,6 +199,35 @@
     )
 
 
+def _leases_renewed_without_authority(planner: Any) -> None:
+    """Renew leases for as long as the planner lives."""
+
+    def tick_with_authority(event: Any) -> None:
+        planner._on_tick(replace(event, lease_authority_until=float("inf")))
+
+    planner._handler_by_event[events.Tick] = tick_with_authority
+
+
+def _predecessor_not_awaited(planner: Any) -> None:
+    """Count on the earlier planner to renew no leases once this one is elected."""
+    planner.state.settings = replace(planner.state.settings, predecessor_s=0.0)
+
+
+def _authority_measured_by_ticks(planner: Any) -> None:
+    """Let the authority over leases stand still while the planner is frozen."""
+    last_tick_at = float("inf")
+    frozen_s = 0.0
+
+    def tick_by_frozen_clock(event: Any) -> None:
+        nonlocal last_tick_at, frozen_s
+        frozen_s += max(0.0, event.now - last_tick_at - 2 * TICK_S)
+        last_tick_at = event.now
+        until = event.lease_authority_until + frozen_s
+        planner._on_tick(replace(event, lease_authority_until=until))
+
+    planner._handler_by_event[events.Tick] = tick_by_frozen_clock
+
+
 MUTATION_BY_NAME: dict[str, Callable[[Any], None]] = {
     mutation.__name__.removeprefix("_"): mutation
     for mutation in (
@@ -222,13 +251,24 @@
 }
 """Functions that put one fault into a planner, by name."""
 
+AUTHORITY_MUTATION_BY_NAME: dict[str, Callable[[Any], None]] = {
+    mutation.__name__.removeprefix("_"): mutation
+    for mutation in (
+        _leases_renewed_without_authority,
+        _predecessor_not_awaited,
+        _authority_measured_by_ticks,
+    )
+}
+"""Like ``MUTATION_BY_NAME``: faults that show only while two planners are alive."""
+
 
 def make_mutant(name: str) -> Callable[[PlannerSettings], Planner]:
     """Return a factory of planners with the named fault."""
+    mutate = (MUTATION_BY_NAME | AUTHORITY_MUTATION_BY_NAME)[name]
 
     def make(settings: PlannerSettings) -> Planner:
         planner = Planner(settings)
-        MUTATION_BY_NAME[name](planner)
+        mutate(planner)
         return planner
 
     return make
--- a/testkit/planning/rule_checker.py
+++ b/testkit/planning/rule_checker.py
@@ -46,6 +46,7 @@
     :ivar refused: jobs of which every submission was refused
     :ivar running: worker and run number of each running task
     :ivar acknowledged_done: tasks whose end as done was acknowledged to the worker
+    :ivar lapsed: tasks of which a run ended with its lease, or with its worker
     """
 
     def __init__(
@@ -60,6 +61,7 @@
         self.cancel_stored_at: dict[str, float] = {}
         self.running: dict[TaskId, tuple[VirtualWorker, int]] = {}
         self.acknowledged_done: set[TaskId] = set()
+        self.lapsed: set[TaskId] = set()
         self.done: set[TaskId] = set()
         self.max_failures_by_step: Counter[StepId] = Counter()
         """Failed runs of each gang; for other steps, the highest count of any task."""
@@ -193,6 +195,8 @@
         ).size.processors
         if kind is EndKind.DONE:
             self.done.add(task)
+        if kind is EndKind.LAPSED:
+            self.lapsed.add(task)
         if kind is EndKind.FAILED:
             self._count_failure(task)
 
--- a/tests/planner/test_mutations.py
+++ b/tests/planner/test_mutations.py
@@ -3,21 +3,33 @@
 from __future__ import annotations
 
 import unittest
+from typing import TYPE_CHECKING
 
-from testkit.planning.mutations import MUTATION_BY_NAME, make_mutant
+from testkit.planning.mutations import (
+    AUTHORITY_MUTATION_BY_NAME,
+    MUTATION_BY_NAME,
+    make_mutant,
+)
 from testkit.planning.rule_checker import RuleViolationError
 from testkit.planning.world import Scenario, World
 
 from .test_scenarios import SEEDS
+from .test_two_planners import make_scenario
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
 
-def find_detecting_seed(name: str) -> int | None:
+CUT_SEEDS = range(100, 120)
+"""Seeds of the simulated scenarios in which zones are cut off."""
+
+
+def find_detecting_seed(name: str, scenarios: Iterable[Scenario]) -> int | None:
     """Return the first seed whose scenario detects a mutant, or None."""
-    for seed in SEEDS:
+    for scenario in scenarios:
         try:
-            World(Scenario(seed), make_mutant(name)).run()
+            World(scenario, make_mutant(name)).run()
         except RuleViolationError:
-            return seed
+            return scenario.seed
         except AssertionError:
             continue  # an accepted job that does not end is no violation
     return None
@@ -27,7 +39,16 @@
     def test_each_mutation_is_detected(self) -> None:
         for name in MUTATION_BY_NAME:
             with self.subTest(mutation=name):
-                self.assertIsNotNone(find_detecting_seed(name))
+                scenarios = map(Scenario, SEEDS)
+                self.assertIsNotNone(find_detecting_seed(name, scenarios))
+
+    # Guards against scenarios that draw no two planners at once, and so pass planners
+    # that renew leases after they were replaced.
+    def test_each_mutation_of_lease_authority_is_detected(self) -> None:
+        for name in AUTHORITY_MUTATION_BY_NAME:
+            with self.subTest(mutation=name):
+                scenarios = map(make_scenario, CUT_SEEDS)
+                self.assertIsNotNone(find_detecting_seed(name, scenarios))
 
 
 if __name__ == "__main__":
