--- a/tests/test_planner_runner.py
+++ b/tests/test_planner_runner.py
@@ -125,7 +125,7 @@
         self.assertFalse(self.runner.ended.is_set())
 
     # Guards against hosts that turn unready, and counts that are refused, as soon as
-    # the store fails: a voter has not answered for long, but authority was lost just now.
+    # the store fails: a voter has not answered for long, but authority was just lost.
     async def test_time_without_authority_begins_when_it_is_lost(self) -> None:
         authority = self.runner.lease_authority
         authority.on_renewed(clock.now(), ("10.0.0.9:1", "10.0.0.8:1"))
