--- a/tests/planner/test_election.py
+++ b/tests/planner/test_election.py
@@ -33,6 +33,11 @@
     return election
 
 
+def make_renewal(voters: tuple[str, ...], member: str = "m1") -> ElectionRecord:
+    """Return a renewal that names voters and the term of the claim at offset 0."""
+    return ElectionRecord(ElectionAction.RENEW, member, "10.0.0.1:1", 1_000, voters, 1)
+
+
 class ElectionTest(unittest.TestCase):
     def test_member_claims_only_after_missing_renewals(self) -> None:
         election = make_follower(CLAIM_AFTER_S - 0.1)
@@ -266,5 +271,134 @@
         self.assertEqual((election.term.member, election.term.number), ("m3", 2))
 
 
+class VoterTest(unittest.TestCase):
+    own, other = "10.0.0.2:1", "10.0.0.3:1"
+
+    def test_every_member_is_a_voter_without_a_list(self) -> None:
+        self.assertTrue(make_follower(0.4).is_voter)
+
+    def test_newest_list_tells_who_is_a_voter(self) -> None:
+        election = make_follower(0.4)
+        election.on_read([(1, make_renewal((self.own,)))], 2, 0.5)
+        self.assertTrue(election.is_voter)
+        election.on_read([(2, make_renewal((self.other,)))], 3, 0.6)
+        self.assertFalse(election.is_voter)
+
+    def test_renewal_without_a_list_changes_nothing(self) -> None:
+        election = make_follower(0.4)
+        rows = [(1, make_renewal((self.other,))), (2, RENEWAL)]
+        election.on_read(rows, 3, 0.5)
+        self.assertFalse(election.is_voter)
+
+    # Guards against a successor that forgets the voters of its predecessor, which may
+    # still rely on them.
+    def test_claim_leaves_the_voters(self) -> None:
+        election = make_follower(0.4)
+        election.on_read([(1, make_renewal((self.other,)))], 2, 0.5)
+        election.on_read([(2, CLAIM)], 3, 0.6)
+        self.assertFalse(election.is_voter)
+        election.on_claimed(3, 0.7)
+        self.assertEqual(election.voters, {self.other})
+
+    def test_planner_knows_the_voters_that_it_has_named(self) -> None:
+        planner = Election("m1", "10.0.0.1:1")
+        planner.on_claimed(0, 0.0)
+        planner.on_renewed(1, 0.1, (self.own,))
+        self.assertEqual(planner.voters, {self.own})
+        planner.on_renewed(2, 0.4)
+        self.assertEqual(planner.voters, {self.own})
+
+    # Guards against a member that was dropped from the list, and claims as a voter
+    # while the earlier planner, which does without it, goes on.
+    def test_list_is_read_though_a_later_term_was_told(self) -> None:
+        election = make_follower(0.4)
+        election.on_read([(1, make_renewal((self.own,)))], 2, 0.5)
+        election.on_term_learned(Term(4, "m3", self.other))
+        election.on_read([(2, make_renewal((self.other,)))], 3, 9.0)
+        self.assertFalse(election.is_voter)
+        assert election.term is not None
+        self.assertEqual(election.term.number, 4)
+
+    def test_member_that_is_no_voter_defers_its_claim(self) -> None:
+        election = make_follower(0.4)
+        election.on_read([(1, make_renewal((self.other,)))], 2, 0.4)
+        wait_s = CLAIM_AFTER_S + DEFER_S
+        self.assertAlmostEqual(election.compute_claim_wait_s(0.4), wait_s)
+        election.on_read([], 2, 0.4 + CLAIM_AFTER_S)
+        self.assertFalse(election.may_claim(0.4 + CLAIM_AFTER_S))
+        election.on_read([], 2, 0.5 + wait_s)
+        self.assertTrue(election.may_claim(0.5 + wait_s))
+
+
+class MissedRecordsTest(unittest.TestCase):
+    # Guards against a claim as a voter by a member that missed who the voters are.
+    def test_gap_in_the_log_makes_the_voters_unknown(self) -> None:
+        election = make_follower(0.4)
+        election.on_read([(1, make_renewal(("10.0.0.2:1",)))], 2, 0.5)
+        election.on_read([(7, RENEWAL)], 8, 30.0)
+        self.assertIsNone(election.voters)
+        self.assertFalse(election.is_voter)
+
+    def test_gap_without_records_makes_the_voters_unknown(self) -> None:
+        election = make_follower(0.4)
+        election.on_read([], 9, 30.0)
+        self.assertFalse(election.is_voter)
+
+    def test_outage_without_new_records_is_no_gap(self) -> None:
+        election = make_follower(0.4)
+        election.on_read([(1, make_renewal(("10.0.0.2:1",)))], 2, 0.5)
+        election.on_read([], 2, 30.0)
+        self.assertTrue(election.is_voter)
+
+    def test_records_that_are_read_again_are_no_gap(self) -> None:
+        election = make_follower(0.4)
+        election.on_read([(1, make_renewal(("10.0.0.2:1",)))], 2, 0.5)
+        election.on_read([(0, CLAIM)], 1, 0.6)
+        self.assertTrue(election.is_voter)
+
+    def test_list_after_a_gap_tells_the_voters_again(self) -> None:
+        election = make_follower(0.4)
+        election.on_read([], 9, 30.0)
+        election.on_read([(9, make_renewal(("10.0.0.2:1",)))], 10, 30.1)
+        self.assertTrue(election.is_voter)
+
+    # Guards against a planner whose renewals succeed although another has claimed.
+    def test_planner_that_missed_records_is_none_any_more(self) -> None:
+        planner = Election("m1", "10.0.0.1:1")
+        planner.on_read([], 0, 0.0)
+        planner.on_claimed(0, 0.0)
+        planner.on_read([], 9, 30.0)
+        self.assertFalse(planner.is_planner)
+        self.assertFalse(planner.has_authority(0.1))
+
+    # Guards against a host that takes the term from a planner whose claim was deleted.
+    def test_member_that_starts_without_the_claim_waits_for_silence(self) -> None:
+        election = Election("m9", "10.0.0.9:1")
+        election.on_read([(50, RENEWAL)], 51, 0.0, 1_100)
+        self.assertFalse(election.may_claim(0.0))
+        election.on_read([(51, RENEWAL)], 52, 0.4)
+        election.on_read([], 52, 0.3 + CLAIM_AFTER_S)
+        self.assertFalse(election.may_claim(0.3 + CLAIM_AFTER_S))
+        now = 0.5 + CLAIM_AFTER_S + DEFER_S
+        election.on_read([], 52, now)
+        self.assertTrue(election.may_claim(now))
+
+    def test_member_that_starts_without_the_claim_learns_the_term(self) -> None:
+        election = Election("m9", "10.0.0.9:1")
+        election.on_read([(50, RENEWAL)], 51, 0.0, 1_100)
+        self.assertIsNone(election.term)
+        election.on_read([(51, make_renewal(("10.0.0.9:1",)))], 52, 0.4)
+        self.assertEqual(election.term, Term(1, "m1", "10.0.0.1:1"))
+        self.assertTrue(election.is_voter)
+
+    def test_release_after_a_gap_lets_members_claim(self) -> None:
+        election = Election("m9", "10.0.0.9:1")
+        election.on_read([(50, RENEWAL)], 51, 0.0, 1_100)
+        release = ElectionRecord(ElectionAction.RELEASE, "m1", "10.0.0.1:1")
+        election.on_read([(51, release)], 52, 0.4)
+        election.on_read([], 52, 0.5 + DEFER_S)
+        self.assertTrue(election.may_claim(0.5 + DEFER_S))
+
+
 if __name__ == "__main__":
     unittest.main()
