Test that a host is lost with the last of its streams

If an older stream went silent and ended later, a dead host remained a voter for the rest of the term, and the planner had no authority in an outage of the store.

--- a/tests/test_planner_streams.py
+++ b/tests/test_planner_streams.py
@@ -7,11 +7,15 @@
 from typing import Any, cast
 
 from jacinthloom_core.planner.election import Election, Term
-from jacinthloom_core.planner.lease_authority import LeaseAuthority
+from jacinthloom_core.planner.lease_authority import (
+    VOTER_RETENTION_S,
+    LeaseAuthority,
+)
 from jacinthloom_daemon.hosted import clock, messages
 from jacinthloom_daemon.hosted.client_handler import ClientHandler
 from jacinthloom_daemon.hosted.planner_client import PlannerClient
 from jacinthloom_daemon.hosted.planner_server import PlannerServer
+from jacinthloom_daemon.hosted.streams import open_stream
 
 from testkit.hosted.deployment import PEER_PORT
 from testkit.loopback import reserve_loopback_ip
@@ -226,6 +230,25 @@
         self.planner.lease_authority.on_renewed(now, voters)
         self.assertEqual(self.members[0].server.find_largest_processors(), 0.5)
 
+    # Guards against a dead host that remains a voter for the rest of the term: its
+    # newer stream ended first, and the older one had gone silent.
+    async def test_host_is_lost_with_the_last_of_its_streams(self) -> None:
+        server, authority = self.members[0].server, self.planner.lease_authority
+        server.set_runner(self.planner)
+        member = self.members[1]
+        writers = []
+        for _ in range(2):
+            reader, writer = await open_stream(self.members[0].address)
+            writer.write(messages.encode(messages.Hello("m1", member.address)))
+            self.assertIsInstance(await messages.read_message(reader), messages.Hello)
+            writers.append(writer)
+        later = clock.now() + VOTER_RETENTION_S + 1.0
+        for writer in reversed(writers):
+            self.assertIn(member.address, authority.choose_voters(later))
+            writer.close()
+            await asyncio.sleep(0.2)
+        self.assertNotIn(member.address, authority.choose_voters(later))
+
 
 if __name__ == "__main__":
     unittest.main()
