Watch authority in a module of its own, and compare answers only when needed

Change: AuthorityWatch logs and measures authority; LeaseAuthority.is_held asks for answers only once the claim no longer suffices; queries of voters go on after an unexpected error.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/lease_authority.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/lease_authority.py
@@ -77,6 +77,8 @@
         one."""
         self._answered_ping_by_address: dict[str, float] = {}
         """Time of sending of the newest ping that each host has answered."""
+        self._earlier_unconfirmed_voters: frozenset[str] | None = None
+        """Value of ``_unconfirmed_voters`` before the renewal in flight."""
         self._listed_at = float("-inf")
         self._renewed_at = float("-inf")
         self._relied_on_from = float("-inf")
@@ -103,6 +105,7 @@
         A planner that does not know whose leases its predecessor renews names none, so
         that its successor does not know either.
         """
+        self._earlier_unconfirmed_voters = self._unconfirmed_voters
         if now < self._votes_from:
             return None
         voters = frozenset(self._list_voters(now))
@@ -158,12 +161,24 @@
             self._unconfirmed_voters = None
             self._listed_at = sent_at
 
+    def on_renewal_refused(self) -> None:
+        """Record that the renewal in flight was certainly not stored."""
+        self._unconfirmed_voters = self._earlier_unconfirmed_voters
+
     def abdicate(self) -> None:
         """Stop relying on the claim until the next renewal."""
         self._relied_on_from = float("-inf")
 
+    def is_held(self, now: float) -> bool:
+        """Whether leases may be renewed now."""
+        # The answers of all voters are not compared while the claim suffices.
+        return now < self._relied_on_from + AUTHORITY_S or now < self.compute_until()
+
     def compute_until(self) -> float:
-        """Return the time until which no other planner takes leases as expired."""
+        """Return the time until which leases may be renewed.
+
+        A successor assumes renewals for longer, from its load: see ``predecessor_s``.
+        """
         until = self._relied_on_from + AUTHORITY_S
         if self._stored_voters is None:
             return until
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_client.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_client.py
@@ -135,7 +135,7 @@
         """
         without_authority_s = self._newest_ping.without_authority_s
         if self._local_planner is not None:
-            without_authority_s = self._local_planner.measure_without_authority_s()
+            without_authority_s = self._local_planner.authority.measure_lost_s()
         outage_s = max(self.measure_outage_s(), without_authority_s)
         return outage_s > NOT_READY_AFTER_S
 
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_runner.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_runner.py
@@ -21,12 +21,13 @@
 from ..platform.log_store import Producer
 from ..platform.worker_client import WorkerClient
 from . import clock, log, messages
+from .authority_watch import AuthorityWatch
 from .batch_appender import RETRY_INTERVAL_S, AppendOutcome, BatchAppender
 from .feeds import WorkerFeed
 
 if TYPE_CHECKING:
     from collections import Counter
-    from collections.abc import Callable, Coroutine, Mapping
+    from collections.abc import Callable, Coroutine
     from typing import Any
 
     from jacinthloom_core.planner.effects import Effect
@@ -80,13 +81,12 @@
         self._request_advice = request_advice
         self._has_authority = has_authority
         self.lease_authority = lease_authority
+        self.authority = AuthorityWatch(lease_authority, settings.term, self.counters)
         self._calls = itertools.count(1)
         self._future_by_call: dict[int, asyncio.Future[effects.Reply]] = {}
         self._client_by_worker: dict[str, WorkerClient] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._flush_timer: asyncio.TimerHandle | None = None
-        self._had_authority = False
-        self._had_authority_at = clock.now()
         self.is_ready = asyncio.Event()
         self.ended = asyncio.Event()
         self._appender = BatchAppender(
@@ -105,7 +105,7 @@
         }
 
     @property
-    def counters(self) -> Mapping[str, int]:
+    def counters(self) -> Counter[str]:
         """Number of decisions, by kind."""
         return self._planner.state.counters
 
@@ -128,31 +128,11 @@
         self.is_ready.set()
         log.write("planner_ready", term=self._term, records=len(records))
         while not self.ended.is_set():
-            self._note_authority()
+            self.authority.note()
             until = self.lease_authority.compute_until()
             self.handle(events.Tick(clock.now(), _wall_ms(), until))
             await asyncio.sleep(TICK_S)
 
-    def _note_authority(self) -> None:
-        """Log that authority over leases was lost or regained."""
-        has_authority = self.has_lease_authority
-        if has_authority:
-            self._had_authority_at = clock.now()
-        if has_authority != self._had_authority:
-            self._had_authority = has_authority
-            self._log_authority(
-                "authority_regained" if has_authority else "no_authority"
-            )
-
-    def _log_authority(self, event: str) -> None:
-        counters = self._planner.state.counters
-        log.write(
-            event,
-            term=self._term,
-            leases_renewed=counters["lease_renewed"],
-            without_authority=counters["lease_renewed_without_authority"],
-        )
-
     async def _load(self) -> dict[str, bytes]:
         """Fence the planners of earlier terms, then read the job records."""
         while not self.ended.is_set():
@@ -171,7 +151,7 @@
         if self.ended.is_set():
             return
         log.write("planner_ended", term=self._term, reason=reason)
-        self._log_authority("leases_at_end")
+        self.authority.log("leases_at_end")
         self.ended.set()
 
     def close(self) -> None:
@@ -195,17 +175,6 @@
         while self._future_by_call and clock.now() < deadline:
             await asyncio.sleep(RETRY_INTERVAL_S / 5)
 
-    @property
-    def has_lease_authority(self) -> bool:
-        """Whether leases may be renewed now."""
-        return clock.now() <= self.lease_authority.compute_until()
-
-    def measure_without_authority_s(self) -> float:
-        """Return for how many seconds there has been no authority over leases."""
-        if self.has_lease_authority:
-            return 0.0
-        return clock.now() - self._had_authority_at
-
     # Events
 
     def handle(self, event: Event) -> None:
@@ -298,7 +267,7 @@
         )
 
     def _count(self, message: messages.Count) -> messages.Answer:
-        if self.measure_without_authority_s() > MAX_COUNT_AGE_S:
+        if self.authority.measure_lost_s() > MAX_COUNT_AGE_S:
             return _refuse_as_replaced(message)
         waiting = self._planner.count_waiting(message.queue)
         return messages.Answer(message.call, 200, waiting=waiting)
@@ -392,9 +361,7 @@
     async def _poll_worker(self, poll: effects.PollWorker) -> None:
         sent_at = clock.now()
         if poll.deadline_ms:
-            counters = self._planner.state.counters
-            counters["lease_renewed"] += 1
-            counters["lease_renewed_without_authority"] += not self.has_lease_authority
+            self.authority.count_renewal()
         try:
             client = self._find_client(poll.worker, poll.address)
             response = await client.hold(poll)
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_server.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_server.py
@@ -215,7 +215,7 @@
             self._sent_at_by_ping[number] = clock.now()
             if len(self._sent_at_by_ping) > REMEMBERED_PINGS:
                 self._sent_at_by_ping.popitem(last=False)
-            without_s = self.runner.measure_without_authority_s()
+            without_s = self.runner.authority.measure_lost_s()
             self.send(messages.Ping(number=number, without_authority_s=without_s))
 
     def on_ping(self, ping: messages.Ping) -> None:
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
@@ -281,7 +281,9 @@
         runner.on_zones(self._operator_feed.zones_out)
         await self._operator_feed.has_rules.wait()
         run = asyncio.create_task(runner.run())
-        queries = self._spawn(self._query_silent_voters(lease_authority))
+        queries = self._spawn(
+            self._keep_running(lambda: self._query_silent_voters(lease_authority))
+        )
         ready = asyncio.create_task(runner.is_ready.wait())
         try:
             await asyncio.wait({run, ready}, return_when=asyncio.FIRST_COMPLETED)
