Settle refused lists of voters, and ignore renewals of an earlier term

A list of voters that the store had refused for certain still counted, so a host that was connected for a moment was needed to the end of an outage, and all leases lapsed without it. A renewal that was stored while its term was replaced set the voters that its member knew back.

Change: a refused list is forgotten; a renewal that returns after its term changes nothing. Evidence: test_voters_of_a_refused_list_are_not_needed, and test_renewal_that_was_stored_in_an_earlier_term_is_ignored, which failed without the change.

--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/elections.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/elections.py
@@ -164,11 +164,8 @@
         is_outcome_unknown = False
         self._is_renewing = True
         term = self._election.term
-        while (
-            self._is_renewing
-            and self._election.is_planner
-            and self._election.term == term
-        ):
+        assert term is not None
+        while self._is_renewing and self._election.term == term:
             sent_at = clock.now()
             voters = lease_authority.choose_voters(sent_at)
             try:
@@ -176,6 +173,8 @@
             except PlatformError as error:
                 if self._election.term != term:
                     return
+                if not _may_have_run(error):
+                    lease_authority.on_renewal_refused()
                 failures += 1
                 if failures == 1:
                     failed_at = sent_at
@@ -193,6 +192,8 @@
                     self._on_abdicated()
                 await asyncio.sleep(RETRY_INTERVAL_S)
                 continue
+            if self._election.term != term:
+                return
             if failures:
                 log.write("renewal_recovered", failures=failures)
             failures = 0
--- a/tests/planner/test_lease_authority.py
+++ b/tests/planner/test_lease_authority.py
@@ -153,6 +153,15 @@
         self.assertAlmostEqual(authority.compute_until(), 3.0 + ANSWERED_S)
 
     # Guards against forgetting the first of two lists that may be stored.
+    # Guards against an outage of the store in which a host that was connected for a
+    # while is needed to the end, though no list with it was stored.
+    def test_voters_of_a_refused_list_are_not_needed(self) -> None:
+        authority = make_answered(3.0)
+        authority.on_connected(C)
+        self.assertIn(C, authority.choose_voters(3.0) or ())
+        authority.on_renewal_refused()
+        self.assertAlmostEqual(authority.compute_until(), 3.0 + ANSWERED_S)
+
     def test_voters_of_every_unconfirmed_list_are_needed(self) -> None:
         authority = make_answered(30.0)
         authority.on_connected(C)
--- a/tests/test_elections.py
+++ b/tests/test_elections.py
@@ -84,6 +84,22 @@
         if self.store.failures == failures:
             self.election.on_claimed(9, clock.now())
 
+    # Guards against a planner that takes the voters of its own earlier term for those
+    # of a later planner, whose leases it would not wait for.
+    async def test_renewal_that_was_stored_in_an_earlier_term_is_ignored(self) -> None:
+        self.election.on_claimed(0, clock.now())
+        later = ElectionRecord(ElectionAction.CLAIM, "m2", "10.0.0.2:1")
+        renewal = ElectionRecord(
+            ElectionAction.RENEW, "m2", "10.0.0.2:1", 0, ("10.0.0.2:1",), 8
+        )
+        self.store.on_append = lambda: self.election.on_read(
+            [(7, later), (8, renewal)], 9, clock.now()
+        )
+        lease_authority = LeaseAuthority("10.0.0.1:1", None, True, clock.now())
+        async with asyncio.timeout(5):
+            await self.follower.renew(lease_authority)
+        self.assertEqual(self.election.voters, {"10.0.0.2:1"})
+
     # Guards against the same for a report that the planner is unreachable.
     async def test_report_names_its_term(self) -> None:
         claim = ElectionRecord(ElectionAction.CLAIM, "m2", "10.0.0.2:1")
