Let a stand-in for the network cut links between processes

Entry processes are now started through a launcher whose event loop opens connections through the stand-in, which knows the source and target of each and cuts any pair: silently, with refusals or with resets, both ways or one way. The product's code is unchanged.

--- a/testkit/hosted/deployment.py
+++ b/testkit/hosted/deployment.py
@@ -16,7 +16,9 @@
 from jacinthloom_wire.http_client import HttpClient, Response
 
 from ..loopback import reserve_loopback_ip
+from . import launcher
 from .log_store import LogStoreStandIn
+from .network import NetworkStandIn
 from .proxy import LinkProxy
 from .worker import WorkerStandIn
 
@@ -27,6 +29,9 @@
 READY_PORT = 8184
 PEER_PORT = 7420
 
+STORE = "store"
+"""Place of the store in the network."""
+
 START_TIMEOUT_S = 20.0
 """Seconds within which processes are ready and one of them has become the planner."""
 
@@ -70,6 +75,9 @@
 
     :param has_proxies: whether each process reaches the store, and all processes reach
         each worker, through a proxy
+    :param network: the network that the processes' connections go through, in which
+        ``STORE`` and the workers' ids are places; none if they connect directly
+    :ivar zone_by_ip: availability zone of the process at each address
     :ivar packages: folder of the packages that the processes run; empty for those that
         are installed
     """
@@ -79,6 +87,7 @@
         processes: int = 2,
         workers: int | list[WorkerStandIn] = 2,
         has_proxies: bool = False,
+        network: NetworkStandIn | None = None,
     ) -> None:
         self.store = LogStoreStandIn()
         if isinstance(workers, int):
@@ -86,6 +95,9 @@
         self.workers = workers
         self.packages = ""
         self._has_proxies = has_proxies
+        self._network = network
+        self._network_address = ""
+        self.zone_by_ip: dict[str, str] = {}
         self.store_proxy_by_ip: dict[str, LinkProxy] = {}
         self.proxy_by_worker: dict[str, LinkProxy] = {}
         self._folder = tempfile.TemporaryDirectory()
@@ -96,6 +108,8 @@
     async def start(self) -> None:
         """Start everything and wait until each process is ready."""
         store = await self.store.start()
+        if self._network is not None:
+            self._network_address = await self._network.start()
         configuration = json.dumps(self.make_configuration()).encode()
         await self.store.put("keyed.op", "config", configuration)
         for worker in self.workers:
@@ -106,9 +120,12 @@
                 address = await proxy.start()
             else:
                 address = store
+            self._place(address, STORE)
+            zone = self.workers[number % len(self.workers)].zone
+            self.zone_by_ip[ip] = zone
             text = SETTINGS.format(
                 name=f"e{number}",
-                zone=self.workers[number % len(self.workers)].zone,
+                zone=zone,
                 ip=ip,
                 front=FRONT_PORT,
                 ready=READY_PORT,
@@ -132,8 +149,13 @@
         if self._has_proxies:
             proxy = self.proxy_by_worker[worker.id] = LinkProxy(worker.address)
             worker.listed_address = await proxy.start()
+        self._place(worker.listed_address, worker.id)
         await self.list_worker(worker)
 
+    def _place(self, address: str, place: str) -> None:
+        if self._network is not None:
+            self._network.place_by_address[address] = place
+
     async def list_worker(self, worker: WorkerStandIn) -> None:
         """Write the entry of a worker, as it does itself."""
         await self.store.put("keyed.servers", worker.id, worker.describe(SERVICE))
@@ -141,12 +163,19 @@
     def start_process(self, ip: str) -> None:
         """Start an entry process."""
         log = Path(self._folder.name) / f"{ip}.log"
+        environment = os.environ | {
+            "JACINTHLOOM_NODE_FILE": str(self._settings_by_ip[ip])
+        }
+        if self.packages:
+            environment["PYTHONPATH"] = self.packages
+        program = launcher.PROGRAM
+        if self._network is not None:
+            environment[launcher.NETWORK_VARIABLE] = f"{self._network_address},{ip}"
+            program = launcher.__name__
         with log.open("ab") as output:
             self.process_by_ip[ip] = subprocess.Popen(
-                [sys.executable, "-m", "jacinthloom_daemon.hosted"],
-                env=os.environ
-                | {"JACINTHLOOM_NODE_FILE": str(self._settings_by_ip[ip])}
-                | ({"PYTHONPATH": self.packages} if self.packages else {}),
+                [sys.executable, "-m", program],
+                env=environment,
                 stdout=output,
                 stderr=output,
             )
@@ -218,6 +247,8 @@
                 await asyncio.to_thread(process.wait)
         for proxy in (*self.store_proxy_by_ip.values(), *self.proxy_by_worker.values()):
             await proxy.close()
+        if self._network is not None:
+            await self._network.close()
         for worker in self.workers:
             await worker.close()
         await self.store.close()
--- /dev/null
+++ b/testkit/hosted/network.py
@@ -0,0 +1,203 @@
+"""A stand-in for the network between processes, which can be cut between any places.
+
+Processes that are started by :mod:`testkit.hosted.launcher` connect to it. Each
+connection begins with a line, ``SOURCE TARGET``, and one byte in response.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import enum
+import socket
+import struct
+from dataclasses import dataclass, field
+
+READ_BYTES = 64 * 1024
+CONNECT_TIMEOUT_S = 2.0
+
+OPENED = b"1"
+REFUSED = b"0"
+
+
+class CutMode(enum.Enum):
+    """What becomes of connections over a cut link."""
+
+    SILENT = "silent"
+    """Bytes are held back until the link heals, and new connections hang."""
+
+    REFUSED = "refused"
+    """Open connections are reset, and new ones refused."""
+
+    RESET = "reset"
+    """Connections are reset, new ones as soon as they are open."""
+
+
+@dataclass(eq=False, slots=True)
+class Cut:
+    """A cut between two groups of places.
+
+    :param is_one_way: whether only what the first group sends to the second is lost
+    """
+
+    sources: frozenset[str]
+    targets: frozenset[str]
+    mode: CutMode = CutMode.SILENT
+    is_one_way: bool = False
+    healed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def blocks(self, sender: str, receiver: str) -> bool:
+        """Whether nothing gets from one place to another."""
+        is_back = sender in self.targets and receiver in self.sources
+        return (sender in self.sources and receiver in self.targets) or (
+            is_back and not self.is_one_way
+        )
+
+
+@dataclass(eq=False, slots=True)
+class _Connection:
+    source: str
+    target: str
+    writers: tuple[asyncio.StreamWriter, asyncio.StreamWriter]
+
+    def reset(self) -> None:
+        for writer in self.writers:
+            _reset(writer)
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with a reset in place of an end of the stream."""
+    linger = struct.pack("ii", 1, 0)
+    with contextlib.suppress(OSError):
+        writer.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, linger
+        )
+    writer.transport.abort()
+
+
+class NetworkStandIn:
+    """Forward connections, each from a known place to a known place.
+
+    :ivar place_by_address: name of the place at an address; the place of any other
+        address is its host
+    """
+
+    def __init__(self) -> None:
+        self.place_by_address: dict[str, str] = {}
+        self._cuts: list[Cut] = []
+        self._connections: set[_Connection] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> str:
+        """Listen at a free port and return the address."""
+        self._server = await asyncio.start_server(
+            self._accept, "127.0.0.1", 0, backlog=1024
+        )
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
+    async def close(self) -> None:
+        """Stop listening and drop all connections."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            connection.reset()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def cut(self, cut: Cut) -> None:
+        """Cut all links between two groups of places, until :meth:`heal`."""
+        self._cuts.append(cut)
+        if cut.mode is CutMode.SILENT:
+            return
+        for connection in list(self._connections):
+            if self._find_cut(connection.source, connection.target) is not None:
+                connection.reset()
+
+    def heal(self, cut: Cut) -> None:
+        """End a cut: forward what it held back, and go on."""
+        self._cuts.remove(cut)
+        cut.healed.set()
+
+    def _find_place(self, address: str) -> str:
+        return self.place_by_address.get(address, address.rpartition(":")[0])
+
+    def _find_cut(self, source: str, target: str) -> Cut | None:
+        """Return the cut that keeps a connection from being opened."""
+        found = [
+            cut
+            for cut in self._cuts
+            if cut.blocks(source, target) or cut.blocks(target, source)
+        ]
+        not_silent = [cut for cut in found if cut.mode is not CutMode.SILENT]
+        return next(iter(not_silent + found), None)
+
+    async def _wait_for_way(self, sender: str, receiver: str) -> None:
+        """Wait until bytes get from one place to another."""
+        while blocking := [cut for cut in self._cuts if cut.blocks(sender, receiver)]:
+            await blocking[0].healed.wait()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        try:
+            source, address = (await reader.readline()).decode().split()
+            await self._forward(source, address, reader, writer)
+        except* (OSError, TimeoutError, EOFError, ValueError):
+            pass
+        finally:
+            self._tasks.discard(task)
+            writer.transport.abort()
+
+    async def _forward(
+        self,
+        source: str,
+        address: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        target = self._find_place(address)
+        while (cut := self._find_cut(source, target)) is not None:
+            if cut.mode is not CutMode.SILENT:
+                writer.write(REFUSED if cut.mode is CutMode.REFUSED else OPENED)
+                if cut.mode is CutMode.RESET:
+                    _reset(writer)
+                return
+            await cut.healed.wait()
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                remote = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            writer.write(REFUSED)
+            return
+        connection = _Connection(source, target, (writer, remote[1]))
+        self._connections.add(connection)
+        try:
+            writer.write(OPENED)
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._pump(reader, remote[1], source, target))
+                group.create_task(self._pump(remote[0], writer, target, source))
+        finally:
+            self._connections.discard(connection)
+            remote[1].transport.abort()
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        sender: str,
+        receiver: str,
+    ) -> None:
+        while True:
+            data = await reader.read(READ_BYTES)
+            await self._wait_for_way(sender, receiver)
+            if not data:
+                raise EOFError
+            writer.write(data)
+            await writer.drain()
