Cut availability zones and take the store away in soaks

New kinds: zone_cut, planner_zone_cut (the store goes at the same time or up to 2 s earlier or later) and long_outage. New checks: an outage of the store for all ends no run if nothing else was disturbed, and no task starts after its job was shown as completed. Reports of TWICE name the terms of the starts and the last renewals of their leases.

--- a/testkit/hosted/worker.py
+++ b/testkit/hosted/worker.py
@@ -30,6 +30,7 @@
 
     Times are monotonic seconds; 0 if it has not come to that.
 
+    :param term: fencing token of its start
     :param is_late: whether its order was carried out long after it was sent
     :param kind: how it ended; empty while it runs
     :param number: number of its end in this incarnation
@@ -41,6 +42,7 @@
     worker: WorkerStandIn
     payload: str
     began_at: float
+    term: int = 0
     is_late: bool = False
     kind: str = ""
     ended_at: float = 0.0
@@ -54,6 +56,7 @@
 
     :ivar runs: every run that was started, in all incarnations
     :ivar lapsed_at: times at which its lease expired
+    :ivar renewals: time and fencing token of each extension of its lease
     :ivar orders_to_delay: number of starts and stops that are not answered, and carried
         out after ``delay_s``
     :ivar mute_until: monotonic time until which calls are dropped
@@ -76,6 +79,7 @@
         self._choose_run_s = choose_run_s or (lambda task: self.run_s)
         self.runs: list[Run] = []
         self.lapsed_at: list[float] = []
+        self.renewals: list[tuple[float, int]] = []
         self.orders_to_delay = 0
         self.delay_s = 2.0
         self.mute_until = 0.0
@@ -185,6 +189,7 @@
         if latest_ms <= self._deadline_ms:
             return
         self._deadline_ms = latest_ms
+        self.renewals.append((time.monotonic(), self._token))
         if self._lapse_timer is not None:
             self._lapse_timer.cancel()
         delay_s = max(0.0, (latest_ms - self._clock_ms) / 1000)
@@ -208,7 +213,8 @@
             return self._respond(409, reason="old")
         if body["deadlineMs"] <= self._clock_ms:
             return self._respond(409, reason="late")
-        run = Run(task, number, self, body["spec"], time.monotonic(), is_late)
+        token = body["fencingToken"]
+        run = Run(task, number, self, body["spec"], time.monotonic(), token, is_late)
         self._run_by_task[task] = run
         self._highest_run_by_task[task] = number
         self.runs.append(run)
--- a/testkit/soak/checks.py
+++ b/testkit/soak/checks.py
@@ -24,6 +24,9 @@
 """Calm calls in a row that are refused with 503, from which a route that is in force
 counts as not served: one may meet an election."""
 
+COMPLETED_SLACK_S = 1.0
+"""Seconds after a job was shown as completed from which none of its tasks starts."""
+
 EVACUATE_S = 5.0
 CANCEL_S = 3.0
 VISIBLE_S = 3.0
@@ -44,17 +47,24 @@
         *_check_runs(runs_by_task),
         *_check_jobs(observations, runs_by_task),
         *_check_places(observations, runs_by_task),
+        *_check_outages(observations, runs_by_task),
         *_check_probes(observations),
     ]
 
 
 def _describe(run: Run, began_at: float) -> str:
+    token = max((token for _, token in run.worker.renewals), default=0)
+    renewed_at = max(
+        (at for at, token in run.worker.renewals if token == run.term), default=0.0
+    )
     return (
         f"{run.task} run {run.run} on {run.worker.id}"
         f" from {run.began_at - began_at:.3f}"
         f" to {run.ended_at - began_at:.3f} {run.kind or 'running'}"
         f"{f', noted {run.noted_at - began_at:.3f}' if run.noted_at else ''}"
         f"{', late' if run.is_late else ''}"
+        f", of term {run.term}, which renewed its lease until"
+        f" {renewed_at - began_at:.3f}; highest there: {token}"
     )
 
 
@@ -94,6 +104,7 @@
             violations += _check_cancel(observations, job, runs)
     for job in observations.job_by_id.values():
         violations += _check_states(job, runs_by_task)
+        violations += _check_completed(observations, job, runs_by_task)
     return violations
 
 
@@ -144,6 +155,23 @@
     return violations
 
 
+def _check_completed(
+    observations: Observations, job: Job, runs_by_task: dict[str, list[Run]]
+) -> list[str]:
+    shown = [at for at, _, state in job.states if state == "completed"]
+    if not shown:
+        return []
+    return [
+        f"TWICE: {task} starts {run.began_at - min(shown):.1f} s after its job was"
+        f" shown as completed"
+        for task in job.list_tasks()
+        for run in runs_by_task.get(task, ())
+        if run.began_at > min(shown) + COMPLETED_SLACK_S
+        and not run.is_late
+        and observations.is_calm(None, run.began_at, run.began_at)
+    ]
+
+
 def _is_final(job: Job) -> bool:
     return any(state in ("completed", "failed") for _, _, state in job.states)
 
@@ -165,6 +193,22 @@
     ]
 
 
+def _check_outages(
+    observations: Observations, runs_by_task: dict[str, list[Run]]
+) -> list[str]:
+    """Check that an outage of the store for all ends no work."""
+    return [
+        f"LAPSED: {_describe(run, outage.began_at)}, in an outage of the store of"
+        f" {outage.ended_at - outage.began_at:.1f} s"
+        for outage in observations.outages
+        for runs in runs_by_task.values()
+        for run in runs
+        if run.kind == "lapsed"
+        and outage.began_at < run.ended_at < outage.ended_at + APPLY_S
+        and observations.is_calm_beside(outage, run.worker.id, run.ended_at)
+    ]
+
+
 def _check_probes(observations: Observations) -> list[str]:
     """Check that processes handle calls by a configuration that may be in force."""
     violations = []
--- a/testkit/soak/deployment.py
+++ b/testkit/soak/deployment.py
@@ -1,4 +1,4 @@
-"""The deployment of a soak: entry processes and workers, each behind a proxy."""
+"""The deployment of a soak: entry processes and workers in zones, behind proxies."""
 
 from __future__ import annotations
 
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from ..hosted.deployment import KEY, PREFIX, SERVICE, Deployment
+from ..hosted.network import NetworkStandIn
 from ..hosted.worker import WorkerStandIn
 
 if TYPE_CHECKING:
@@ -77,7 +78,8 @@
             )
             for number in range(workers)
         ]
-        super().__init__(processes, stand_ins, has_proxies=True)
+        self.network = NetworkStandIn()
+        super().__init__(processes, stand_ins, has_proxies=True, network=self.network)
         self._observations = observations
         self.incarnation_by_ip: dict[str, int] = {}
 
@@ -90,6 +92,10 @@
         """Addresses of all processes, whether they run or not."""
         return list(self.store_proxy_by_ip)
 
+    def list_ips(self, zone: str) -> frozenset[str]:
+        """Return the addresses of the processes in an availability zone."""
+        return frozenset(ip for ip, its in self.zone_by_ip.items() if its == zone)
+
     def start_process(self, ip: str) -> None:
         """Start an entry process."""
         self.incarnation_by_ip[ip] = self.incarnation_by_ip.get(ip, 0) + 1
--- a/testkit/soak/faults.py
+++ b/testkit/soak/faults.py
@@ -8,7 +8,9 @@
 import time
 from typing import TYPE_CHECKING
 
-from .observations import STORE, Evacuation
+from ..hosted.deployment import STORE as STORE_PLACE
+from ..hosted.network import Cut, CutMode
+from .observations import STORE, Evacuation, Outage
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterator
@@ -24,6 +26,12 @@
 
 LONGEST_SERIES = 4
 
+LONGEST_DELAYED_S = 15.0
+"""Seconds for which a worker counts as disturbed once its orders are to be delayed."""
+
+MAX_STORE_OFFSET_S = 2.0
+"""Seconds by which a zone loses the store earlier or later than the other zones."""
+
 
 class FaultInjector:
     """Injects faults until it is cancelled.
@@ -65,6 +73,9 @@
             "half_answers": self._cut_answers,
             "lost_answers": self._drop_answers,
             "truncated": self._truncate_topics,
+            "zone_cut": self._cut_zone,
+            "planner_zone_cut": self._cut_zone_of_planner,
+            "long_outage": self._take_store_away,
             "link_cut": self._cut_link,
             "link_stalled": self._stall_link,
             "all_stalled": self._stall_all,
@@ -159,8 +170,89 @@
         ips = [ip for ip in self._deployment.ips if self._random.random() < 0.6]
         await asyncio.gather(*(self._restart(ip, signal.SIGKILL) for ip in ips))
 
+    # Availability zones
+
+    async def _cut_zone(self, zone: str = "") -> None:
+        """Cut a zone off from the store and the others; clients reach all processes."""
+        random = self._random
+        zone = zone or random.choice(tuple(self._deployment.zone_by_ip.values()))
+        duration_s = random.uniform(3.0, 25.0)
+        mode = random.choice(tuple(CutMode))
+        offset_s = random.choice((0.0, random.uniform(-1.0, 1.0) * MAX_STORE_OFFSET_S))
+        with self._reserve(f"cut {zone}") as is_free:
+            if not is_free:
+                return
+            deployment = self._deployment
+            ips = deployment.list_ips(zone)
+            others = frozenset(deployment.ips) - ips
+            workers = {worker.id: worker for worker in deployment.workers}
+            inside = frozenset(w.id for w in workers.values() if w.zone == zone)
+            for ip in ips:
+                self._observations.disturb(ip, duration_s + abs(offset_s))
+            for worker in workers:
+                self._observations.harm(worker, duration_s + abs(offset_s))
+            cut = Cut(ips, others | (frozenset(workers) - inside), mode)
+            cut_of_workers = Cut(others, inside, mode)
+            cut_of_store = Cut(ips, frozenset({STORE_PLACE}), mode)
+            async with asyncio.TaskGroup() as group:
+                group.create_task(
+                    self._cut_links(max(0.0, offset_s), duration_s, cut_of_store)
+                )
+                group.create_task(
+                    self._cut_links(
+                        max(0.0, -offset_s), duration_s, cut, cut_of_workers
+                    )
+                )
+                if random.random() < 0.5:
+                    lost = [workers[name] for name in sorted(inside)]
+                    group.create_task(self._unlist_workers(lost, duration_s))
+
+    async def _cut_links(self, delay_s: float, duration_s: float, *cuts: Cut) -> None:
+        await asyncio.sleep(delay_s)
+        for cut in cuts:
+            self._deployment.network.cut(cut)
+        await asyncio.sleep(duration_s)
+        for cut in cuts:
+            self._deployment.network.heal(cut)
+
+    async def _unlist_workers(
+        self, workers: list[WorkerStandIn], duration_s: float
+    ) -> None:
+        """Remove the entries of workers that can't reach the store, until they can."""
+        if duration_s < LOST_AFTER_S:
+            return
+        await asyncio.sleep(LOST_AFTER_S)
+        for worker in workers:
+            await self._deployment.store.put("keyed.servers", worker.id, b"")
+        back_s = self._random.uniform(0.0, 2.0)
+        await asyncio.sleep(duration_s - LOST_AFTER_S + back_s)
+        for worker in workers:
+            if worker.is_up:
+                await self._deployment.list_worker(worker)
+
+    async def _cut_zone_of_planner(self) -> None:
+        await self._cut_zone(self._deployment.zone_by_ip[await self._find_planner()])
+
     # The store, and the links to it
 
+    async def _take_store_away(self) -> None:
+        """Take the store away from all processes for longer than a lease."""
+        duration_s = self._random.uniform(8.0, 20.0)
+        mode = self._random.choice((None, *CutMode))
+        began_at = time.monotonic()
+        outage = Outage(began_at, began_at + duration_s)
+        self._observations.outages.append(outage)
+        scope = (STORE, outage.began_at, outage.ended_at)
+        self._observations.disturbances.append(scope)
+        if mode is None:
+            self._deployment.store.is_down = True
+            await asyncio.sleep(duration_s)
+            self._deployment.store.is_down = False
+            return
+        ips = frozenset(self._deployment.ips)
+        cut = Cut(ips, frozenset({STORE_PLACE}), mode)
+        await self._cut_links(0.0, duration_s, cut)
+
     async def _disturb_store(
         self, attribute: str, value: object, usual: object
     ) -> None:
@@ -255,6 +347,7 @@
                 return
             await worker.crash()
             down_s = self._random.uniform(0.3, 7.0)
+            self._observations.harm(worker.id, down_s)
             await asyncio.sleep(min(down_s, LOST_AFTER_S))
             if down_s > LOST_AFTER_S:
                 await self._deployment.store.put("keyed.servers", worker.id, b"")
@@ -264,24 +357,32 @@
             await self._deployment.list_worker(worker)
 
     async def _cut_worker(self) -> None:
-        proxy = self._deployment.proxy_by_worker[self._choose_worker().id]
+        worker = self._choose_worker().id
+        proxy = self._deployment.proxy_by_worker[worker]
+        duration_s = self._random.uniform(0.3, 9.0)
+        self._observations.harm(worker, duration_s)
         proxy.cut()
-        await asyncio.sleep(self._random.uniform(0.3, 9.0))
+        await asyncio.sleep(duration_s)
         proxy.heal()
 
     async def _mute_workers(self) -> None:
         """Let some workers drop all calls for a while, and run on."""
         for worker in self._deployment.workers:
             if self._random.random() < 0.3:
-                worker.mute_until = time.monotonic() + self._random.uniform(0.3, 3.0)
+                duration_s = self._random.uniform(0.3, 3.0)
+                self._observations.harm(worker.id, duration_s)
+                worker.mute_until = time.monotonic() + duration_s
 
     async def _stall_worker(self) -> None:
-        self._deployment.proxy_by_worker[self._choose_worker().id].stall()
+        worker = self._choose_worker().id
+        self._observations.harm(worker, 0.0)
+        self._deployment.proxy_by_worker[worker].stall()
 
     async def _delay_orders(self) -> None:
         worker = self._choose_worker()
         worker.delay_s = self._random.uniform(1.0, 8.0)
         worker.orders_to_delay = self._random.randint(1, 6)
+        self._observations.harm(worker.id, LONGEST_DELAYED_S)
 
     async def _drain_worker(self) -> None:
         worker = self._choose_worker()
--- a/testkit/soak/observations.py
+++ b/testkit/soak/observations.py
@@ -89,6 +89,14 @@
     ended_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class Outage:
+    """A time in which no process reached the store."""
+
+    began_at: float
+    ended_at: float
+
+
 @dataclass(slots=True)
 class Observations:
     """Everything that the checks need, in monotonic seconds."""
@@ -101,11 +109,31 @@
     disturbances: list[tuple[str, float, float]] = field(default_factory=list)
     """Scope, begin and end of each disturbance."""
 
+    outages: list[Outage] = field(default_factory=list)
+    harms: list[tuple[str, float, float]] = field(default_factory=list)
+    """Worker, begin and end of each disturbance of a worker or of links to it."""
+
+    def harm(self, worker: str, duration_s: float) -> None:
+        """Record a disturbance of a worker that begins now."""
+        now = time.monotonic()
+        self.harms.append((worker, now, now + duration_s))
+
     def disturb(self, scope: str, duration_s: float) -> None:
         """Record a disturbance that begins now."""
         now = time.monotonic()
         self.disturbances.append((scope, now, now + duration_s))
 
+    def is_calm_beside(self, outage: Outage, worker: str, until: float) -> bool:
+        """Whether an outage is all that has disturbed processes or a worker."""
+        since = outage.began_at - CONTACT_S
+        of_outage = (STORE, outage.began_at, outage.ended_at)
+        disturbances = [d for d in self.disturbances if d != of_outage]
+        harms = [harm for harm in self.harms if harm[0] == worker]
+        return not any(
+            began_at <= until and ended_at >= since
+            for _, began_at, ended_at in disturbances + harms
+        )
+
     def is_calm(self, scopes: set[str] | None, since: float, until: float) -> bool:
         """Whether nothing has disturbed any of some scopes, or None for all of them."""
         return not any(
