Run the soaks of the tests without the debug mode of asyncio

Nobody outside saw anything of it: unittest runs event loops in debug mode, which records a traceback for every callback of the stand-ins.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,6 +12,10 @@
 
 
 class SoakTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        # unittest runs its event loops in debug mode, which slows the stand-ins down.
+        asyncio.get_running_loop().set_debug(False)
+
     async def run_seed(self, settings: SoakSettings) -> None:
         result = await run_soak(settings)
         self.assertEqual(result.violations, (), str(result))
@@ -38,8 +42,6 @@
     # Guards against a planner that, cut off with its zone, renews leases that its
     # successor takes as lapsed: tasks then run twice (zone_cut).
     async def test_rules_hold_when_the_zone_of_the_planner_is_cut_off(self) -> None:
-        # The debug mode of the event loop delays the stand-ins too much.
-        asyncio.get_running_loop().set_debug(False)
         kinds = ("quiet", "planner_zone_cut")
         await self.run_seed(SoakSettings(700, 6, 24, 5.0, 1, 12, kinds=kinds))
 
