Let the runs of a soak take longer than a lease

Nobody outside saw anything of it: the soak's runs took 2.5 s at most and leases last 6 s, so the check that an outage of the store ends no run could not fail, and no two runs that a cut zone brings about lasted long enough to overlap. The length of the longest runs is an option now (--longest-run); jobs have two such runs more time to end. The default is unchanged.

--- a/testkit/soak/__main__.py
+++ b/testkit/soak/__main__.py
@@ -6,6 +6,7 @@
 import asyncio
 import sys
 
+from .deployment import LONGEST_RUN_S
 from .soak import SoakSettings, run_soak
 
 
@@ -20,6 +21,7 @@
     parser.add_argument("--clients", type=int, default=12)
     parser.add_argument("--kinds", default="", help="kinds of faults, with commas")
     parser.add_argument("--packages", default="", help="folder of another build")
+    parser.add_argument("--longest-run", type=float, default=LONGEST_RUN_S)
     parser.add_argument("--logs", help="folder for the logs of the processes")
     arguments = parser.parse_args()
     first, _, last = arguments.seeds.partition("-")
@@ -34,6 +36,7 @@
             arguments.clients,
             arguments.packages,
             tuple(kind for kind in arguments.kinds.split(",") if kind),
+            arguments.longest_run,
         )
         result = asyncio.run(run_soak(settings, arguments.logs))
         broken += bool(result.violations)
--- a/testkit/soak/deployment.py
+++ b/testkit/soak/deployment.py
@@ -26,10 +26,10 @@
 which processes get in touch."""
 
 
-def choose_run_s(task: str) -> float:
+def choose_run_s(task: str, longest_s: float = LONGEST_RUN_S) -> float:
     """Return how long the runs of a task take, by its name."""
     share = zlib.crc32(task.encode()) % 1000 / 1000
-    return SHORTEST_RUN_S + share**3 * (LONGEST_RUN_S - SHORTEST_RUN_S)
+    return SHORTEST_RUN_S + share**3 * (longest_s - SHORTEST_RUN_S)
 
 
 def make_route(name: str, prefix: str) -> dict[str, object]:
@@ -67,14 +67,18 @@
     """
 
     def __init__(
-        self, processes: int, workers: int, observations: Observations
+        self,
+        processes: int,
+        workers: int,
+        observations: Observations,
+        longest_run_s: float = LONGEST_RUN_S,
     ) -> None:
         stand_ins = [
             WorkerStandIn(
                 f"i-{number:04}",
                 zone=ZONES[number % len(ZONES)],
                 labels=("a", f"r{number % len(ZONES)}-{number // 24}"),
-                choose_run_s=choose_run_s,
+                choose_run_s=lambda task: choose_run_s(task, longest_run_s),
             )
             for number in range(workers)
         ]
--- a/testkit/soak/soak.py
+++ b/testkit/soak/soak.py
@@ -11,13 +11,14 @@
 from random import Random
 
 from .checks import find_violations
-from .deployment import STARTED_S, SoakDeployment
+from .deployment import LONGEST_RUN_S, STARTED_S, SoakDeployment
 from .faults import FaultInjector
 from .observations import CONTACT_S, Observations
 from .traffic import OPTIONAL_KEYS, OPTIONAL_ROUTES, Client, Operator
 
 FINISH_S = 14.0
-"""Seconds after the end of traffic and faults by which every accepted job has ended."""
+"""Seconds after the end of traffic and faults by which every accepted job has ended, if
+no run takes longer than ``LONGEST_RUN_S``."""
 
 CALM_S = CONTACT_S + STARTED_S + 0.2
 """Seconds after which processes that were just started are in touch, and the last
@@ -37,6 +38,8 @@
     :param packages: folder with another build of the packages that the processes run;
         empty for the installed ones
     :param kinds: kinds of faults to draw from; all of them if empty
+    :param longest_run_s: duration of the longest runs; an outage can end only runs that
+        are longer than a lease
     """
 
     seed: int
@@ -47,6 +50,12 @@
     clients: int = 12
     packages: str = ""
     kinds: tuple[str, ...] = ()
+    longest_run_s: float = LONGEST_RUN_S
+
+    @property
+    def finish_s(self) -> float:
+        """Seconds by which every accepted job has ended; each run may start again."""
+        return FINISH_S + 2 * (self.longest_run_s - LONGEST_RUN_S)
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,7 +100,9 @@
     """
     random = Random(settings.seed)
     observations = Observations()
-    deployment = SoakDeployment(settings.processes, settings.workers, observations)
+    deployment = SoakDeployment(
+        settings.processes, settings.workers, observations, settings.longest_run_s
+    )
     deployment.packages = settings.packages
     clients: list[Client] = []
 
@@ -120,7 +131,7 @@
         await _probe_all(deployment, prober)
         await operator.write()
         await _probe_all(deployment, prober)
-        await _wait_for_jobs(observations, prober)
+        await _wait_for_jobs(observations, prober, settings.finish_s)
         if logs:
             folder = Path(logs) / f"seed-{settings.seed}"
             shutil.copytree(deployment.log_folder, folder, dirs_exist_ok=True)
@@ -165,9 +176,11 @@
             await client.probe(ip, route, route % OPTIONAL_KEYS)
 
 
-async def _wait_for_jobs(observations: Observations, client: Client) -> None:
+async def _wait_for_jobs(
+    observations: Observations, client: Client, finish_s: float
+) -> None:
     """Ask for the states of accepted jobs until all have ended, or time is up."""
-    until = time.monotonic() + FINISH_S
+    until = time.monotonic() + finish_s
     open_jobs = [job for job in observations.job_by_id.values() if job.accepted_at]
     while open_jobs and time.monotonic() < until:
         states = [await client.ask(job) for job in open_jobs]
