Simulate refused lists of voters, and test that earlier ones stay

The simulated members did not tell LeaseAuthority of refused renewals, and took renewals that return after their term, unlike elections.py since.

Change: the copy does as elections.py does. A test covers a refusal after a list whose outcome is unknown; the comment of another test is back above it.

--- a/testkit/planning/election_member.py
+++ b/testkit/planning/election_member.py
@@ -341,6 +341,8 @@
                     failed_at = sent_at
                 # As in the daemon, a conflict counts as unknown.
                 may_have_run = isinstance(result, Conflict) or result.may_have_run
+                if not may_have_run:
+                    authority.on_renewal_refused()
                 is_outcome_unknown = is_outcome_unknown or may_have_run
                 if is_outcome_unknown:
                     is_over = member.now - renewed_at > ABDICATE_AFTER_S
@@ -353,6 +355,8 @@
                     member.on_abdicated()
                 await member.sleep(RETRY_INTERVAL_S)
                 continue
+            if election.term != term:
+                return
             failures = 0
             is_outcome_unknown = False
             renewed_at = sent_at
--- a/tests/planner/test_lease_authority.py
+++ b/tests/planner/test_lease_authority.py
@@ -152,7 +152,6 @@
         authority.on_ping_answered(C, 3.0)
         self.assertAlmostEqual(authority.compute_until(), 3.0 + ANSWERED_S)
 
-    # Guards against forgetting the first of two lists that may be stored.
     # Guards against an outage of the store in which a host that was connected for a
     # while is needed to the end, though no list with it was stored.
     def test_voters_of_a_refused_list_are_not_needed(self) -> None:
@@ -162,6 +161,16 @@
         authority.on_renewal_refused()
         self.assertAlmostEqual(authority.compute_until(), 3.0 + ANSWERED_S)
 
+    # Guards against a refusal that settles an earlier list, which may be stored.
+    def test_refused_list_leaves_earlier_ones_unconfirmed(self) -> None:
+        authority = make_answered(3.0)
+        authority.on_connected(C)
+        authority.choose_voters(1.0)
+        authority.choose_voters(1.2)
+        authority.on_renewal_refused()
+        self.assertAlmostEqual(authority.compute_until(), AUTHORITY_S)
+
+    # Guards against forgetting the first of two lists that may be stored.
     def test_voters_of_every_unconfirmed_list_are_needed(self) -> None:
         authority = make_answered(30.0)
         authority.on_connected(C)
