--- a/tests/planner/test_scenarios.py
+++ b/tests/planner/test_scenarios.py
@@ -21,6 +21,11 @@
             with self.subTest(seed=seed):
                 World(Scenario(seed, lost=0.0, late=0.0)).run()
 
+    # Guards against a lease that outlasts what a successor counts: an order to the life
+    # before is carried out late, on a worker that has just restarted under its id.
+    def test_late_order_on_a_restarted_worker_outlasts_no_wait(self) -> None:
+        World(Scenario(2092)).run()
+
     # Guards against a start after the last failed attempt: its count was stored before
     # the end of its job, and the planner was replaced between the two.
     def test_attempts_that_were_stored_before_the_end_of_a_job_count(self) -> None:
