--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
@@ -25,8 +25,8 @@
 """Seconds for which others may claim after the planner reported that it can't write."""
 
 AUTHORITY_S = 0.9
-"""Seconds after sending a renewal for which the planner relies on it. The margin to
-``CLAIM_AFTER_S`` exceeds the differences between clocks and the delay of timers."""
+"""Seconds after sending a renewal for which the planner relies on it. A member that
+claims sooner has read that renewal, and assumes for longer that leases are renewed."""
 
 OLDER_MEMBER_DELAY_S = 0.35
 """Seconds after the release of a claim for which members that started before it was
@@ -377,5 +377,8 @@
         return now - self._answered_at <= READ_GAP_S
 
     def has_authority(self, now: float) -> bool:
-        """Whether this member is the planner and no other can have claimed since."""
+        """Whether this member is the planner and relies on its last renewal.
+
+        Another one may have claimed since; then the store refuses what this one appends.
+        """
         return self.is_planner and now - self._renewed_at < AUTHORITY_S
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_runner.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_runner.py
@@ -54,7 +54,7 @@
     """The planner of one term, and its connections.
 
     :param request_advice: requests advice from a member
-    :param has_authority: whether no other member can have claimed yet
+    :param has_authority: whether the last renewal of the claim is recent enough
     :param lease_authority: until when leases may be renewed
     :param on_refused: called when the store has rejected a batch
     :param ignored_records: counts, by topic, the records that could not be used
