--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
@@ -379,6 +379,6 @@
     def has_authority(self, now: float) -> bool:
         """Whether this member is the planner and relies on its last renewal.
 
-        Another one may have claimed since; then the store refuses what this one appends.
+        Another one may have claimed since. The store then refuses further appends.
         """
         return self.is_planner and now - self._renewed_at < AUTHORITY_S
