--- a/tests/planner/test_takeover.py
+++ b/tests/planner/test_takeover.py
@@ -94,8 +94,8 @@
         starts = [effect for effect in emitted if isinstance(effect, effects.Start)]
         self.assertEqual([(start.worker, start.run) for start in starts], [("w1", 2)])
 
-    # Guards against a start while an earlier run still ends: the timers of a worker fire
-    # late, which counts for leases of an earlier planner too.
+    # Guards against a start while an earlier run still ends: the timers of workers fire
+    # late, for the leases of an earlier planner too.
     def test_leases_of_the_planner_before_count_with_the_same_margin(self) -> None:
         store = Store()
         first = make_planner(1, store, 0.0)
