Log ends of runs in one place

Change: one call that names the event. Same lines and counters; the tests of takeovers and of truncated lists pass.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/run_end_handler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/run_end_handler.py
@@ -43,24 +43,18 @@
     def handle(self, worker: Worker, run_end: RunEnd, now: float) -> None:
         """Process the end of a run that a worker lists."""
         task = worker.task_by_id.get(run_end.task)
-        if task is None or task.run != run_end.run:
-            self._state.note(
-                "end_unused",
-                task=list(run_end.task),
-                run=run_end.run,
-                on=worker.id,
-                how=run_end.kind.value,
-            )
-            return
-        job = task.step.occurrence.job
-        job.has_started = True
+        counts = task is not None and task.run == run_end.run
         self._state.note(
-            "run_ended",
+            "run_ended" if counts else "end_unused",
             task=list(run_end.task),
             run=run_end.run,
             on=worker.id,
             how=run_end.kind.value,
         )
+        if task is None or not counts:
+            return
+        job = task.step.occurrence.job
+        job.has_started = True
         if run_end.checkpoint:
             task.checkpoint = run_end.checkpoint
         if run_end.kind is EndKind.DONE and not task.step.spec.lasting:
