Replace a planner that never names its term

In a rolling update from an earlier build, a host that starts after the planner's claim was deleted reads renewals that name no term. It knows no planner then, and would wait for the host of the planner to be updated, unready. (Earlier builds claimed at once, also from a healthy planner.)

Change: such a member claims after 3 s, unless a renewal names the term, as planners of this build do once a second. Evidence: test_member_replaces_a_planner_that_never_names_its_term; without the change the member never claims while renewals go on.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/election.py
@@ -46,6 +46,10 @@
 CLAIM_SUSPENSION_S = 4.0
 """Seconds for which a planner that most members can't reach does not claim again."""
 
+UNNAMED_TERM_S = 3.0
+"""Seconds after which a member that has missed the claim claims itself, if no renewal
+has named its term: planners of earlier builds name none."""
+
 LARGE_SHARE = 0.7
 """Share of the largest known host's processors from which a host counts as large."""
 
@@ -140,6 +144,7 @@
         """Whether records were deleted unread, and no list of voters was read since."""
         self._is_term_unknown = False
         """Whether a claim may be among those records."""
+        self._term_unknown_since = float("-inf")
         self._report_time_by_member: dict[str, float] = {}
 
     @property
@@ -187,6 +192,7 @@
         if self.is_planner:
             self.term = None
         self._is_term_unknown = self.term is None
+        self._term_unknown_since = now
 
     def _apply(self, offset: int, record: ElectionRecord, now: float) -> None:
         if record.action is ElectionAction.REPORT_UNREACHABLE:
@@ -282,7 +288,10 @@
             return 0.0
         is_suspect = self.term is not None and self.term.number == self._suspect_term
         timeout_s = SUSPECT_CLAIM_AFTER_S if is_suspect else CLAIM_AFTER_S
-        return self._silent_since + timeout_s + self._defer_s - now
+        due = self._silent_since + timeout_s
+        if self._is_term_unknown:
+            due = min(due, self._term_unknown_since + UNNAMED_TERM_S)
+        return due + self._defer_s - now
 
     def on_term_learned(self, term: Term) -> bool:
         """Adopt a term that another member has read, if it is newer.
--- a/tests/planner/test_election.py
+++ b/tests/planner/test_election.py
@@ -12,6 +12,7 @@
     DEFER_S,
     OLDER_MEMBER_DELAY_S,
     SUSPECT_CLAIM_AFTER_S,
+    UNNAMED_TERM_S,
     Election,
     ElectionAction,
     ElectionRecord,
@@ -115,6 +116,18 @@
         election.on_abdicated(7, 0.4)
         self.assertFalse(election.may_claim(0.5))
 
+    # Guards against hosts without a planner in a rolling update: the claim was deleted,
+    # and a planner of an earlier build names its term in no renewal.
+    def test_member_replaces_a_planner_that_never_names_its_term(self) -> None:
+        election = Election("m2", "10.0.0.2:1")
+        now = 0.0
+        for offset in range(50, 65):
+            election.on_read([(offset, RENEWAL)], offset + 1, now)
+            self.assertEqual(
+                election.may_claim(now), now >= UNNAMED_TERM_S + DEFER_S, now
+            )
+            now += 0.3
+
     def test_small_host_defers_its_claim_to_larger_ones(self) -> None:
         small, large = make_follower(1.2), make_follower(1.2)
         small.processors, large.processors = 0.5, 2.0
