Log which life of a worker a start is meant for

Change: the line has the life, as worker_life has it. Evidence: none yet; make check and the planner's takeover tests pass.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/start_dispatcher.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/start_dispatcher.py
@@ -118,7 +118,13 @@
             self._find_ticket(task, worker, now) if self._needs_ticket(task) else ""
         )
         worker.extend_lease(now, lease_s)
-        state.note("task_started", task=list(task.id), run=task.run, on=worker.id)
+        state.note(
+            "task_started",
+            task=list(task.id),
+            run=task.run,
+            on=worker.id,
+            life=worker.incarnation,
+        )
         state.effects.append(
             Start(
                 worker.id,
