Send orders only on connections to the life of a worker that they are meant for

Cause: an order names a worker's id. A worker that is back under its id takes orders for its former life, whose deadlines are by another clock: its lease is then up to 10 s, while the next planner counts the 6 s that the one before granted. A cursor for the former life acknowledges ends of the next one unseen, so that tasks that are done start again. Change: starts, cursors and deadlines name the incarnation that they are meant for. They are sent only on connections whose other end has said that it is that incarnation (one hold without a deadline for each new connection): a connection ends at one process. A poll for a former life only reads the lists of the next one; a start for it is not sent. The planner that does not name incarnations is caught (test_mutations).

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/effects.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/effects.py
@@ -40,6 +40,8 @@
     """Order a worker to start a task; answered by ``StartAnswered``.
 
     :param token: fencing token
+    :param incarnation: incarnation of the worker that the order is meant for, by whose
+        clock the deadline is; no other one may receive it
     :param run: number of the run
     :param checkpoint: checkpoint to resume from, or empty
     :param ticket: permission of the advice service, or empty
@@ -49,6 +51,7 @@
     worker: str
     address: str
     token: int
+    incarnation: int
     task: TaskId
     run: int
     payload: str
@@ -79,6 +82,8 @@
     establishes the fencing token at the worker.
 
     :param token: fencing token
+    :param incarnation: incarnation of the worker that the cursor and the deadline are
+        meant for; 0 if there are none. Another one is polled without them
     :param cursor: ends up to this number are stored, so the worker may drop them
     :param wait_s: seconds for which the worker may wait for a run to end
     :param deadline_ms: end of the leases on the worker's clock, in milliseconds; 0 to
@@ -88,6 +93,7 @@
     worker: str
     address: str
     token: int
+    incarnation: int
     cursor: int
     wait_s: float
     deadline_ms: int
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/order_responses.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/order_responses.py
@@ -17,6 +17,9 @@
 START_RETRY_S = 0.05
 """Seconds until an unanswered start is repeated, which is safe as it is idempotent."""
 
+UNRECEIVED_OUTCOMES = frozenset({StartOutcome.NOT_SENT, StartOutcome.OTHER_INCARNATION})
+"""Outcomes of starts that the intended incarnation of a worker did not receive."""
+
 
 class OrderResponseHandler:
     """Confirms, repeats or places again what was ordered."""
@@ -54,7 +57,7 @@
             outcome=outcome.value,
         )
         is_silent = outcome is StartOutcome.UNKNOWN and task.has_unknown_outcome
-        if is_silent or outcome is StartOutcome.NOT_SENT:
+        if is_silent or outcome in UNRECEIVED_OUTCOMES:
             worker.is_suspect = True
         if outcome is StartOutcome.STALE_RUN:
             task.barred_at = event.now
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/reconciler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/reconciler.py
@@ -90,8 +90,6 @@
             and not worker.has_unlisted_ends
         )
         worker.is_polling = True
-        # The cursor is sent until it is confirmed, but not after a failure: a new
-        # incarnation would apply it to its own list, and drop ends from it.
         is_new = worker.cursor > worker.confirmed_cursor and not worker.failed_polls
         worker.sent_cursor = worker.cursor if is_new else 0
         self._state.effects.append(
@@ -99,6 +97,7 @@
                 worker.id,
                 worker.entry.address,
                 worker.token,
+                worker.incarnation if is_in_contact else 0,
                 worker.sent_cursor,
                 _choose_wait_s(worker) if waits else 0.0,
                 deadline_ms,
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/start_dispatcher.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/start_dispatcher.py
@@ -130,6 +130,7 @@
                 worker.id,
                 worker.entry.address,
                 worker.token,
+                worker.incarnation,
                 task.id,
                 task.run,
                 task.step.occurrence.job.spec.payload,
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/errors.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/errors.py
@@ -23,6 +23,16 @@
         self.is_outcome_unknown = is_outcome_unknown
 
 
+class OtherIncarnationError(UnavailableError):
+    """Another incarnation of a worker than the intended one has its address.
+
+    Nothing was sent to it.
+    """
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, is_outcome_unknown=False)
+
+
 class FencedError(PlatformError):
     """A writer or planner with a higher epoch or fencing token has taken over."""
 
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/worker_client.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/worker_client.py
@@ -2,22 +2,29 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any
 
 import msgspec
 from jacinthloom_core.planner.events import StartOutcome
-from jacinthloom_wire.errors import TransportError
-from jacinthloom_wire.http_client import HttpClient
-
-from .errors import FencedError, InvalidDataError, UnavailableError
+from jacinthloom_wire.errors import OtherRecipientError, TransportError
+from jacinthloom_wire.http_client import HttpClient, Recipient
+
+from .errors import (
+    FencedError,
+    InvalidDataError,
+    OtherIncarnationError,
+    UnavailableError,
+)
 from .run_lists import decode_hold
 from .schemas import decode_order_response, format_task
 
 if TYPE_CHECKING:
     from jacinthloom_core.planner.effects import PollWorker, Start, Stop, Throttle
     from jacinthloom_core.planner.events import RunEnd, RunProgress
-    from jacinthloom_wire.http_client import Response
+    from jacinthloom_wire.http_client import Exchange, Response
+
+    from .run_lists import HoldResponseBody
 
 ORDER_TIMEOUT_S = 0.8
 """Timeout of an order, in seconds: workers that can be reached respond within
@@ -73,7 +80,11 @@
 
 
 class WorkerClient:
-    """Send orders to one worker over persistent connections."""
+    """Send orders to one worker over persistent connections.
+
+    Orders name the worker, and the worker may start again under its name. Those that
+    are meant for one incarnation are sent only on connections that end at it.
+    """
 
     def __init__(self, worker: str, address: str) -> None:
         self.address = address
@@ -86,27 +97,27 @@
     async def hold(self, poll: PollWorker) -> HoldResponse:
         """Renew the worker's leases and return its running tasks and ended runs.
 
+        An incarnation that the cursor and the deadline are not meant for is asked for
+        its lists only.
+
         :raises FencedError: if the worker has seen a higher fencing token
         :raises UnavailableError: if there was no valid response
         """
+        try:
+            return await self._hold(poll)
+        except OtherIncarnationError:
+            unbound = replace(poll, incarnation=0, cursor=0, wait_s=0.0, deadline_ms=0)
+            return await self._hold(unbound)
+
+    async def _hold(self, poll: PollWorker) -> HoldResponse:
         body: dict[str, Any] = {"fencingToken": poll.token, "ackCursor": poll.cursor}
         if poll.deadline_ms:
             body["deadlineMs"] = poll.deadline_ms
         if poll.wait_s:
             body["waitMs"] = int(poll.wait_s * 1000)
-        response = await self._post("/hold", body, poll.wait_s + HOLD_TIMEOUT_MARGIN_S)
-        if response.status == 409:
-            raise FencedError("the worker has seen a higher fencing token")
-        if response.status != 200:
-            raise UnavailableError(
-                f"status {response.status}", is_outcome_unknown=False
-            )
-        try:
-            decoded = decode_hold(response.body)
-        except InvalidDataError as error:
-            raise UnavailableError(
-                f"unreadable response to a hold: {error}", True
-            ) from error
+        recipient = self._make_recipient(poll) if poll.incarnation else None
+        timeout_s = poll.wait_s + HOLD_TIMEOUT_MARGIN_S
+        decoded = _read_hold(await self._post("/hold", body, timeout_s, recipient))
         running, ends = decoded.to_running(), decoded.to_ends()
         is_complete = (
             len(decoded.endedRuns) < MAX_LISTED_ENDS
@@ -129,7 +140,13 @@
         if start.ticket:
             body["ticket"] = start.ticket
         try:
-            response = await self._post("/run-start", body, START_TIMEOUT_S)
+            response = await self._post(
+                "/run-start", body, START_TIMEOUT_S, self._make_recipient(start)
+            )
+        except OtherIncarnationError:
+            return StartOutcome.OTHER_INCARNATION
+        except FencedError:
+            return StartOutcome.FENCED
         except UnavailableError as error:
             return (
                 StartOutcome.UNKNOWN
@@ -169,12 +186,27 @@
             return False
         return response.status == 200
 
-    async def _post(self, path: str, body: dict[str, Any], timeout: float) -> Response:
+    def _make_recipient(self, order: Start | PollWorker) -> Recipient:
+        async def identify(exchange: Exchange) -> int:
+            body = msgspec.json.encode({"fencingToken": order.token, "ackCursor": 0})
+            return _read_hold(await exchange("POST", "/hold", body, self._headers)).born
+
+        return Recipient(order.incarnation, identify)
+
+    async def _post(
+        self,
+        path: str,
+        body: dict[str, Any],
+        timeout: float,
+        recipient: Recipient | None = None,
+    ) -> Response:
         encoded = msgspec.json.encode(body)
         try:
             return await self._client.request(
-                "POST", path, encoded, self._headers, timeout
+                "POST", path, encoded, self._headers, timeout, recipient=recipient
             )
+        except OtherRecipientError as error:
+            raise OtherIncarnationError(str(error)) from error
         except TransportError as error:
             raise UnavailableError(str(error), error.sent) from error
 
@@ -183,6 +215,24 @@
         self._client.close()
 
 
+def _read_hold(response: Response) -> HoldResponseBody:
+    """Decode the response to a hold.
+
+    :raises FencedError: if the worker has seen a higher fencing token
+    :raises UnavailableError: if the hold was refused, or the response can't be read
+    """
+    if response.status == 409:
+        raise FencedError("the worker has seen a higher fencing token")
+    if response.status != 200:
+        raise UnavailableError(f"status {response.status}", is_outcome_unknown=False)
+    try:
+        return decode_hold(response.body)
+    except InvalidDataError as error:
+        raise UnavailableError(
+            f"unreadable response to a hold: {error}", True
+        ) from error
+
+
 def _decode_refusal(response: Response) -> StartOutcome:
     try:
         reason = decode_order_response(response.body).reason
--- a/packages/jacinthloom-wire/src/jacinthloom_wire/errors.py
+++ b/packages/jacinthloom-wire/src/jacinthloom_wire/errors.py
@@ -18,6 +18,13 @@
         self.sent = sent
 
 
+class OtherRecipientError(TransportError):
+    """Another process than the intended one is at the other end; nothing was sent."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, False)
+
+
 class StatusError(WireError):
     """The response has an error status."""
 
--- a/packages/jacinthloom-wire/src/jacinthloom_wire/http_client.py
+++ b/packages/jacinthloom-wire/src/jacinthloom_wire/http_client.py
@@ -5,15 +5,20 @@
 import asyncio
 import json
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import h11
 
 from .addresses import split_address
-from .errors import FormatError, StatusError, TransportError
+from .errors import FormatError, OtherRecipientError, StatusError, TransportError
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
+
+    Headers = tuple[tuple[str, str], ...]
+    Exchange = Callable[[str, str, bytes, Headers], Awaitable["Response"]]
+    """Sends a request (method, path, body, headers) and returns its response."""
 
 READ_BYTES = 64 * 1024
 """Maximum bytes per read from a socket."""
@@ -49,8 +54,27 @@
             raise FormatError(f"response is not JSON: {error}") from error
 
 
+@dataclass(frozen=True, slots=True)
+class Recipient:
+    """The process that a request is meant for, and no later one at its address.
+
+    A connection ends at one process, so a request that is sent on a connection whose
+    other end has identified itself reaches no other process.
+
+    :param identity: identity of the process; not 0
+    :param identify: asks the process at the other end of a connection for its
+        identity; takes a function that sends requests on that connection
+    """
+
+    identity: int
+    identify: Callable[[Exchange], Awaitable[int]]
+
+
 class _Connection:
-    """An open connection and its HTTP state."""
+    """An open connection and its HTTP state.
+
+    :ivar identity: identity of the process at the other end; 0 if it is not known
+    """
 
     def __init__(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -58,6 +82,7 @@
         self.reader = reader
         self.writer = writer
         self.state = h11.Connection(our_role=h11.CLIENT)
+        self.identity = 0
 
     @property
     def is_reusable(self) -> bool:
@@ -102,10 +127,11 @@
         method: str,
         path: str,
         body: bytes = b"",
-        headers: tuple[tuple[str, str], ...] = (),
+        headers: Headers = (),
         timeout: float = 5.0,
         may_send: Callable[[], bool] | None = None,
         new_connection: bool = False,
+        recipient: Recipient | None = None,
     ) -> Response:
         """Send a request and return the complete response.
 
@@ -113,6 +139,8 @@
         :param may_send: called immediately before the first byte is written; the
             request is not sent if it returns false
         :param new_connection: whether to open a new connection instead of reusing one
+        :param recipient: process that the request is meant for; None for any
+        :raises OtherRecipientError: if another process is at the address
         :raises TransportError: if no complete response was received; ``sent`` says
             whether the request may have been sent
         """
@@ -121,7 +149,9 @@
         connection: _Connection | None = None
         try:
             async with asyncio.timeout(timeout):
-                connection = await self._acquire(new_connection)
+                connection = await self._acquire(new_connection, recipient)
+                if recipient is not None:
+                    await self._check_recipient(connection, recipient)
                 data = self._encode(connection, method, path, body, headers)
                 if may_send is not None and not may_send():
                     raise TransportError("request expired before it was sent", False)
@@ -146,10 +176,15 @@
         self._release(connection)
         return response
 
-    async def _acquire(self, fresh: bool) -> _Connection:
+    async def _acquire(self, fresh: bool, recipient: Recipient | None) -> _Connection:
         while self._idle and not fresh:
             connection = self._idle.pop()
-            if connection.is_reusable:
+            is_to_another = (
+                recipient is not None
+                and connection.identity != 0
+                and connection.identity != recipient.identity
+            )
+            if connection.is_reusable and not is_to_another:
                 connection.state.start_next_cycle()
                 return connection
             connection.close()
@@ -161,13 +196,46 @@
             raise ConnectionError(f"the host can't be resolved: {error}") from error
         return _Connection(reader, writer)
 
+    async def _check_recipient(
+        self, connection: _Connection, recipient: Recipient
+    ) -> None:
+        """Check that the intended process is at the other end of a connection.
+
+        :raises OtherRecipientError: if another one is
+        """
+        if connection.identity == 0:
+            exchange = partial(self._exchange, connection)
+            connection.identity = await recipient.identify(exchange)
+        if connection.identity != recipient.identity:
+            raise OtherRecipientError(
+                f"{self._host}:{self._port}: process {connection.identity} has "
+                f"taken the place of {recipient.identity}"
+            )
+
+    async def _exchange(
+        self,
+        connection: _Connection,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: Headers,
+    ) -> Response:
+        """Send a request on a connection, which another one then follows on."""
+        connection.writer.write(self._encode(connection, method, path, body, headers))
+        await connection.writer.drain()
+        response = await _read_response(connection)
+        if not connection.is_reusable:
+            raise EOFError("connection closed after the first response")
+        connection.state.start_next_cycle()
+        return response
+
     def _encode(
         self,
         connection: _Connection,
         method: str,
         path: str,
         body: bytes,
-        headers: tuple[tuple[str, str], ...],
+        headers: Headers,
     ) -> bytes:
         request = h11.Request(
             method=method,
--- a/testkit/hosted/worker.py
+++ b/testkit/hosted/worker.py
@@ -57,6 +57,7 @@
     :ivar runs: every run that was started, in all incarnations
     :ivar lapsed_at: times at which its lease expired
     :ivar renewals: time and fencing token of each extension of its lease
+    :ivar hold_count: number of holds that it has answered, in all incarnations
     :ivar orders_to_delay: number of starts and stops that are not answered, and carried
         out after ``delay_s``
     :ivar mute_until: monotonic time until which calls are dropped
@@ -80,6 +81,7 @@
         self.runs: list[Run] = []
         self.lapsed_at: list[float] = []
         self.renewals: list[tuple[float, int]] = []
+        self.hold_count = 0
         self.orders_to_delay = 0
         self.delay_s = 2.0
         self.mute_until = 0.0
@@ -252,11 +254,16 @@
         self._ends.append(run)
         self._has_ended.set()
 
+    def finish(self, task: str) -> None:
+        """End a running task as done."""
+        self._end(self._run_by_task[task], "done")
+
     def _compute_percent(self, run: Run) -> int:
         worked_s = time.monotonic() - run.began_at
         return min(99, int(100 * worked_s / max(0.01, self._choose_run_s(run.task))))
 
     async def _on_hold(self, body: dict[str, Any]) -> ServerResponse:
+        self.hold_count += 1
         if self._is_fenced(body):
             return self._respond(409, reason="fence")
         for run in self._ends:
--- a/testkit/planning/mutations.py
+++ b/testkit/planning/mutations.py
@@ -228,6 +228,21 @@
     planner._handler_by_event[events.Tick] = tick_by_frozen_clock
 
 
+def _orders_for_any_incarnation(planner: Any) -> None:
+    """Send orders without the incarnation that they are meant for."""
+    handle = planner.handle
+
+    def handle_and_unbind(event: Any) -> Any:
+        return [
+            replace(effect, incarnation=0)
+            if isinstance(effect, effects.Start | effects.PollWorker)
+            else effect
+            for effect in handle(event)
+        ]
+
+    planner.handle = handle_and_unbind
+
+
 MUTATION_BY_NAME: dict[str, Callable[[Any], None]] = {
     mutation.__name__.removeprefix("_"): mutation
     for mutation in (
@@ -261,10 +276,18 @@
 }
 """Like ``MUTATION_BY_NAME``: faults that show only while two planners are alive."""
 
+RECIPIENT_MUTATION_BY_NAME: dict[str, Callable[[Any], None]] = {
+    "orders_for_any_incarnation": _orders_for_any_incarnation
+}
+"""Like ``MUTATION_BY_NAME``: faults that show only where workers restart."""
+
 
 def make_mutant(name: str) -> Callable[[PlannerSettings], Planner]:
     """Return a factory of planners with the named fault."""
-    mutate = (MUTATION_BY_NAME | AUTHORITY_MUTATION_BY_NAME)[name]
+    mutation_by_name = (
+        MUTATION_BY_NAME | AUTHORITY_MUTATION_BY_NAME | RECIPIENT_MUTATION_BY_NAME
+    )
+    mutate = mutation_by_name[name]
 
     def make(settings: PlannerSettings) -> Planner:
         planner = Planner(settings)
--- a/testkit/planning/world.py
+++ b/testkit/planning/world.py
@@ -739,6 +739,8 @@
         """Execute a command whose answer is lost, if its incarnation still runs."""
         if not worker.is_up or worker.incarnation != incarnation:
             return
+        if not _reaches(command, worker):
+            return
         if isinstance(command, effects.Start):
             if self._has_valid_ticket(command):
                 worker.start(command, is_late)
@@ -759,7 +761,9 @@
     ) -> None:
         assert isinstance(command, effects.Start)
         outcome = StartOutcome.UNKNOWN
-        if is_delivered and worker.is_up:
+        if is_delivered and worker.is_up and not _reaches(command, worker):
+            outcome = StartOutcome.OTHER_INCARNATION
+        elif is_delivered and worker.is_up:
             outcome = StartOutcome.BAD_TICKET
             if self._has_valid_ticket(command):
                 outcome = worker.start(command)
@@ -797,7 +801,10 @@
             if not self.zone_cuts.reaches_worker(process, worker):
                 is_connected = False
             if is_connected and (worker.incarnation == incarnation or not poll.wait_s):
-                response = worker.poll(poll)
+                carried = poll
+                if not _reaches(poll, worker):
+                    carried = replace(poll, cursor=0, deadline_ms=0)
+                response = worker.poll(carried)
                 if response is None:
                     self._handle_later(
                         process,
@@ -874,6 +881,19 @@
         return self._partitioned_until.get(worker.id, -1.0) > self.clock.now
 
 
+def _reaches(
+    order: effects.Start | effects.Stop | effects.PollWorker, worker: VirtualWorker
+) -> bool:
+    """Whether an order may be sent to the incarnation that the worker is in.
+
+    Starts, cursors and deadlines are sent only on connections that end at the one that
+    they are meant for.
+    """
+    if isinstance(order, effects.Stop):
+        return True
+    return order.incarnation in (0, worker.incarnation)
+
+
 def _find_zone(worker: str) -> str:
     return ZONES[zlib.crc32(worker.rstrip(REPLACED_SUFFIX).encode()) % len(ZONES)]
 
--- a/tests/planner/test_mutations.py
+++ b/tests/planner/test_mutations.py
@@ -8,11 +8,13 @@
 from testkit.planning.mutations import (
     AUTHORITY_MUTATION_BY_NAME,
     MUTATION_BY_NAME,
+    RECIPIENT_MUTATION_BY_NAME,
     make_mutant,
 )
 from testkit.planning.rule_checker import RuleViolationError
 from testkit.planning.world import Scenario, World
 
+from .test_recut_workers import make_scenario as make_recut_scenario
 from .test_scenarios import SEEDS
 from .test_two_planners import make_scenario
 
@@ -22,6 +24,9 @@
 CUT_SEEDS = range(100, 120)
 """Seeds of the simulated scenarios in which zones are cut off."""
 
+RECUT_SEEDS = range(70, 80)
+"""Seeds of the simulated scenarios in which workers restart and are cut off."""
+
 
 def find_detecting_seed(name: str, scenarios: Iterable[Scenario]) -> int | None:
     """Return the first seed whose scenario detects a mutant, or None."""
@@ -50,6 +55,14 @@
                 scenarios = map(make_scenario, CUT_SEEDS)
                 self.assertIsNotNone(find_detecting_seed(name, scenarios))
 
+    # Guards against scenarios in which no order reaches another life of a worker than
+    # the one that it is meant for.
+    def test_each_mutation_of_recipients_is_detected(self) -> None:
+        for name in RECIPIENT_MUTATION_BY_NAME:
+            with self.subTest(mutation=name):
+                scenarios = map(make_recut_scenario, RECUT_SEEDS)
+                self.assertIsNotNone(find_detecting_seed(name, scenarios))
+
 
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/tests/platform_adapter/test_order_recipients.py
@@ -0,0 +1,119 @@
+"""Orders for one life of a worker do not reach the next one under the same name."""
+
+from __future__ import annotations
+
+import unittest
+
+from jacinthloom_core.planner.effects import PollWorker, Start
+from jacinthloom_core.planner.events import StartOutcome
+from jacinthloom_core.planner.specs import TaskId
+from jacinthloom_daemon.platform.errors import UnavailableError
+from jacinthloom_daemon.platform.schemas import format_task
+from jacinthloom_daemon.platform.worker_client import WorkerClient
+
+from testkit.hosted.proxy import LinkProxy
+from testkit.hosted.worker import WorkerStandIn
+
+TASK = TaskId("a" * 16, 0, 0, 0)
+FAR_MS = 400_000
+"""Deadline by the clock of a life that has lasted for long."""
+
+
+class OrderRecipientsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.worker = WorkerStandIn("w1", run_s=5.0)
+        await self.worker.start()
+        self.proxy = LinkProxy(self.worker.address)
+        self.client = WorkerClient("w1", await self.proxy.start())
+        self.former = self.worker.born
+
+    async def asyncTearDown(self) -> None:
+        self.client.close()
+        await self.proxy.close()
+        await self.worker.close()
+
+    async def restart(self) -> None:
+        await self.worker.crash()
+        await self.worker.restart()
+        self.worker.born = self.former + 700
+
+    async def start(self, incarnation: int, deadline_ms: int) -> StartOutcome:
+        start = Start(
+            "w1", "", 1, incarnation, TASK, 1, "spec", "", "", deadline_ms=deadline_ms
+        )
+        return await self.client.start(start)
+
+    def make_poll(self, incarnation: int, cursor: int, deadline_ms: int) -> PollWorker:
+        return PollWorker("w1", "", 1, incarnation, cursor, 0.0, deadline_ms)
+
+    # Guards against a run whose lease outlasts what the planner counts, since its start
+    # was meant for the former life, and has a deadline by the clock of that life.
+    async def test_start_for_a_former_life_is_not_carried_out(self) -> None:
+        await self.restart()
+        outcome = await self.start(self.former, FAR_MS)
+        self.assertEqual(outcome, StartOutcome.OTHER_INCARNATION)
+        self.assertEqual(self.worker.started, [])
+        self.assertEqual(self.worker.renewals, [])
+        outcome = await self.start(self.worker.born, 6_000)
+        self.assertEqual(outcome, StartOutcome.STARTED)
+
+    # Guards against the same on connections that were open before the worker crashed,
+    # and whose other end has said nothing since.
+    async def test_connection_to_a_former_life_does_not_lead_to_the_next(self) -> None:
+        self.assertEqual(await self.start(self.former, 6_000), StartOutcome.STARTED)
+        self.proxy.stall()
+        await self.restart()
+        outcome = await self.start(self.former, FAR_MS)
+        self.assertIn(outcome, (StartOutcome.UNKNOWN, StartOutcome.OTHER_INCARNATION))
+        outcome = await self.start(self.former, FAR_MS)
+        self.assertEqual(outcome, StartOutcome.OTHER_INCARNATION)
+        self.assertEqual(self.worker.renewals[1:], [])
+
+    # Guards against ends that are acknowledged unseen, and against a lease by the clock
+    # of a former life.
+    async def test_poll_for_a_former_life_only_reads_the_lists_of_the_next(
+        self,
+    ) -> None:
+        await self.restart()
+        self.assertEqual(
+            await self.start(self.worker.born, 6_000), StartOutcome.STARTED
+        )
+        self.worker.finish(format_task(TASK))
+        renewals = list(self.worker.renewals)
+        response = await self.client.hold(self.make_poll(self.former, 9, FAR_MS))
+        self.assertEqual(response.incarnation, self.worker.born)
+        self.assertEqual(self.worker.renewals, renewals)
+        response = await self.client.hold(self.make_poll(0, 0, 0))
+        self.assertEqual([end.task for end in response.ends], [TASK])
+
+    async def test_poll_of_a_life_renews_its_lease_and_acknowledges_its_ends(
+        self,
+    ) -> None:
+        self.assertEqual(await self.start(self.former, 1_000), StartOutcome.STARTED)
+        self.worker.finish(format_task(TASK))
+        response = await self.client.hold(self.make_poll(self.former, 1, 6_000))
+        self.assertEqual(response.ends, ())
+        self.assertEqual(len(self.worker.renewals), 2)
+
+    # Guards against further calls for each order: only new connections cost one.
+    async def test_connection_identifies_itself_once(self) -> None:
+        for _ in range(3):
+            await self.client.hold(self.make_poll(self.former, 0, 6_000))
+        self.assertEqual(self.worker.hold_count, 4)
+
+    # Guards against a start that counts as possibly carried out, but was not sent.
+    async def test_start_is_not_sent_to_a_worker_that_does_not_identify_itself(
+        self,
+    ) -> None:
+        self.proxy.stall()
+        self.proxy.cut()
+        outcome = await self.start(self.former, 6_000)
+        self.assertEqual(outcome, StartOutcome.NOT_SENT)
+        with self.assertRaises(UnavailableError) as caught:
+            await self.client.hold(self.make_poll(self.former, 0, 6_000))
+        self.assertFalse(caught.exception.is_outcome_unknown)
+        self.proxy.heal()
+
+
+if __name__ == "__main__":
+    unittest.main()
