--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/reconciler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/reconciler.py
@@ -157,8 +157,9 @@
             worker.seen_end = 0
             self._state.note("worker_life", worker=worker.id, life=event.incarnation)
             if not is_first:
-                # The new incarnation may have received an order for the previous one,
-                # with a deadline on that one's clock: assume the longest lease.
+                # A planner of an earlier build may have sent it an order for the
+                # previous one, with a deadline on that one's clock: assume the longest
+                # lease.
                 longest_s = self._state.settings.longest_lease_s
                 worker.extend_lease(event.now, longest_s)
                 worker.token += 1
