Restart workers under their ids and cut them off in soaks

Cause: in the soak a worker's clock began with the deployment, so deadlines by the clock of a former life were not longer than usual ones; and no fault cut a worker off after its return. Change: workers are a minute old as they are first started. workers_recut crashes the workers of a zone silently, brings them back, kills the planner in most cases and cuts them off. Tests of test_order_recipients have deadlines by the older clocks.

--- a/testkit/hosted/worker.py
+++ b/testkit/hosted/worker.py
@@ -24,6 +24,11 @@
 """Seconds from a stop to the end of the run."""
 
 
+FIRST_AGE_S = 60.0
+"""Age of a worker when it is first started, in seconds: its clock is ahead of that of
+its next life."""
+
+
 @dataclass(slots=True)
 class Run:
     """One run of a task, as the worker has seen it.
@@ -88,11 +93,11 @@
         self.address = ""
         self.listed_address = ""
         """Address in the worker's entry, if it is reached through another one."""
-        self._begin_incarnation()
+        self._begin_incarnation(FIRST_AGE_S)
 
-    def _begin_incarnation(self) -> None:
-        self.born = int(time.time() * 1000)
-        self._began_at = time.monotonic()
+    def _begin_incarnation(self, age_s: float = 0.0) -> None:
+        self.born = int((time.time() - age_s) * 1000)
+        self._began_at = time.monotonic() - age_s
         self._token = 0
         self._deadline_ms = 0
         self._run_by_task: dict[str, Run] = {}
--- a/testkit/soak/faults.py
+++ b/testkit/soak/faults.py
@@ -81,6 +81,7 @@
             "all_stalled": self._stall_all,
             "worker_crash": self._crash_worker,
             "worker_cut": self._cut_worker,
+            "workers_recut": self._recut_workers,
             "worker_stalled": self._stall_worker,
             "workers_mute": self._mute_workers,
             "worker_late": self._delay_orders,
@@ -365,6 +366,52 @@
         await asyncio.sleep(duration_s)
         proxy.heal()
 
+    async def _recut_workers(self) -> None:
+        """Restart the workers of a zone under their ids, and cut them off soon after.
+
+        They crash silently. In most cases the planner is killed before the cut, so that
+        its successor has seen nothing of their former lives.
+        """
+        random = self._random
+        zone = self._choose_worker().zone
+        down_s = random.uniform(0.05, 0.4)
+        kill_at_s = random.uniform(0.5, 1.8)
+        cut_at_s = max(0.0, kill_at_s + random.uniform(-0.2, 0.8))
+        cut_s = random.uniform(8.0, 14.0)
+        async with contextlib.AsyncExitStack() as stack:
+            workers = [
+                worker
+                for worker in self._deployment.workers
+                if worker.zone == zone
+                and stack.enter_context(self._reserve(worker.id))
+                and worker.is_up
+            ]
+            proxies = [self._deployment.proxy_by_worker[w.id] for w in workers]
+            for worker, proxy in zip(workers, proxies, strict=True):
+                self._observations.harm(worker.id, down_s + cut_at_s + cut_s)
+                proxy.stall()
+                await worker.crash()
+            await asyncio.sleep(down_s)
+            for worker in workers:
+                await worker.restart()
+                self._later(self._list_later(worker, random.uniform(0.0, 1.5)))
+            if random.random() < 0.7:
+                self._later(self._kill_planner_later(kill_at_s))
+            await asyncio.sleep(cut_at_s)
+            for proxy in proxies:
+                proxy.cut()
+            await asyncio.sleep(cut_s)
+            for proxy in proxies:
+                proxy.heal()
+
+    async def _list_later(self, worker: WorkerStandIn, delay_s: float) -> None:
+        await asyncio.sleep(delay_s)
+        await self._deployment.list_worker(worker)
+
+    async def _kill_planner_later(self, delay_s: float) -> None:
+        await asyncio.sleep(delay_s)
+        await self._kill_planner()
+
     async def _mute_workers(self) -> None:
         """Let some workers drop all calls for a while, and run on."""
         for worker in self._deployment.workers:
--- a/tests/platform_adapter/test_order_recipients.py
+++ b/tests/platform_adapter/test_order_recipients.py
@@ -12,11 +12,14 @@
 from jacinthloom_daemon.platform.worker_client import WorkerClient
 
 from testkit.hosted.proxy import LinkProxy
-from testkit.hosted.worker import WorkerStandIn
+from testkit.hosted.worker import FIRST_AGE_S, WorkerStandIn
 
 TASK = TaskId("a" * 16, 0, 0, 0)
-FAR_MS = 400_000
-"""Deadline by the clock of a life that has lasted for long."""
+AGE_MS = int(FIRST_AGE_S * 1000)
+"""Clock of the former life when it is first started."""
+
+FAR_MS = 2 * AGE_MS
+"""Deadline by the clock of the former life."""
 
 
 class OrderRecipientsTest(unittest.IsolatedAsyncioTestCase):
@@ -35,7 +38,7 @@
     async def restart(self) -> None:
         await self.worker.crash()
         await self.worker.restart()
-        self.worker.born = self.former + 700
+        self.worker.born = self.former + 700_000
 
     async def start(self, incarnation: int, deadline_ms: int) -> StartOutcome:
         start = Start(
@@ -60,7 +63,9 @@
     # Guards against the same on connections that were open before the worker crashed,
     # and whose other end has said nothing since.
     async def test_connection_to_a_former_life_does_not_lead_to_the_next(self) -> None:
-        self.assertEqual(await self.start(self.former, 6_000), StartOutcome.STARTED)
+        self.assertEqual(
+            await self.start(self.former, AGE_MS + 6_000), StartOutcome.STARTED
+        )
         self.proxy.stall()
         await self.restart()
         outcome = await self.start(self.former, FAR_MS)
@@ -89,16 +94,20 @@
     async def test_poll_of_a_life_renews_its_lease_and_acknowledges_its_ends(
         self,
     ) -> None:
-        self.assertEqual(await self.start(self.former, 1_000), StartOutcome.STARTED)
+        self.assertEqual(
+            await self.start(self.former, AGE_MS + 1_000), StartOutcome.STARTED
+        )
         self.worker.finish(format_task(TASK))
-        response = await self.client.hold(self.make_poll(self.former, 1, 6_000))
+        response = await self.client.hold(
+            self.make_poll(self.former, 1, AGE_MS + 6_000)
+        )
         self.assertEqual(response.ends, ())
         self.assertEqual(len(self.worker.renewals), 2)
 
     # Guards against further calls for each order: only new connections cost one.
     async def test_connection_identifies_itself_once(self) -> None:
         for _ in range(3):
-            await self.client.hold(self.make_poll(self.former, 0, 6_000))
+            await self.client.hold(self.make_poll(self.former, 0, AGE_MS + 6_000))
         self.assertEqual(self.worker.hold_count, 4)
 
     # Guards against a start that counts as possibly carried out, but was not sent.
@@ -107,10 +116,10 @@
     ) -> None:
         self.proxy.stall()
         self.proxy.cut()
-        outcome = await self.start(self.former, 6_000)
+        outcome = await self.start(self.former, AGE_MS + 6_000)
         self.assertEqual(outcome, StartOutcome.NOT_SENT)
         with self.assertRaises(UnavailableError) as caught:
-            await self.client.hold(self.make_poll(self.former, 0, 6_000))
+            await self.client.hold(self.make_poll(self.former, 0, AGE_MS + 6_000))
         self.assertFalse(caught.exception.is_outcome_unknown)
         self.proxy.heal()
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -45,6 +45,14 @@
         kinds = ("quiet", "planner_zone_cut")
         await self.run_seed(SoakSettings(700, 6, 24, 5.0, 1, 12, kinds=kinds))
 
+    # Guards against starts and leases that outlive what planners count, since a worker
+    # that is back under its id takes orders for its former life (workers_recut).
+    async def test_rules_hold_when_workers_return_and_are_cut_off(self) -> None:
+        kinds = ("workers_recut",)
+        await self.run_seed(
+            SoakSettings(812, 4, 12, 4.0, 1, 24, kinds=kinds, longest_run_s=14.0)
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
