Name the poll timeouts of the emulator, and reword a doc comment

Cause: a newcomer would stop at a timeout that may be None, and at a sentence. Change: names and words only, in the test kit and one doc comment of the HTTP client. Evidence: make check, and the tests of recut workers, takeovers and recipients pass.

--- a/packages/jacinthloom-wire/src/jacinthloom_wire/http_client.py
+++ b/packages/jacinthloom-wire/src/jacinthloom_wire/http_client.py
@@ -220,7 +220,7 @@
         body: bytes,
         headers: Headers,
     ) -> Response:
-        """Send a request on a connection, which another one then follows on."""
+        """Send a request on a connection that is to carry another one afterwards."""
         connection.writer.write(self._encode(connection, method, path, body, headers))
         await connection.writer.drain()
         response = await _read_response(connection)
--- a/testkit/planning/recuts.py
+++ b/testkit/planning/recuts.py
@@ -21,6 +21,9 @@
 POLL_TIMEOUT_S = 1.6
 """Seconds after which a long poll fails: crashed workers reset no connections."""
 
+SHORT_POLL_TIMEOUT_S = 0.5
+"""Like ``POLL_TIMEOUT_S``, in scenarios without such workers."""
+
 HEARTBEAT_INTERVAL_S = 1.5
 """Seconds until the entry of a worker shows its new incarnation."""
 
@@ -42,9 +45,9 @@
         self._count = count
 
     @property
-    def poll_timeout_s(self) -> float | None:
-        """Seconds after which a long poll of a silent worker fails; None for less."""
-        return POLL_TIMEOUT_S if self._count else None
+    def poll_timeout_s(self) -> float:
+        """Seconds after which a poll of a silent worker fails."""
+        return POLL_TIMEOUT_S if self._count else SHORT_POLL_TIMEOUT_S
 
     def schedule(self, ends_at: float) -> None:
         """Schedule the restarts.
--- a/testkit/planning/world.py
+++ b/testkit/planning/world.py
@@ -801,10 +801,10 @@
             if not self.zone_cuts.reaches_worker(process, worker):
                 is_connected = False
             if is_connected and (worker.incarnation == incarnation or not poll.wait_s):
-                carried = poll
+                sent = poll
                 if not _reaches(poll, worker):
-                    carried = replace(poll, cursor=0, deadline_ms=0)
-                response = worker.poll(carried)
+                    sent = replace(poll, cursor=0, deadline_ms=0)
+                response = worker.poll(sent)
                 if response is None:
                     self._handle_later(
                         process,
@@ -817,7 +817,7 @@
                 self._handle_later(
                     process,
                     lambda: events.WorkerPollFailed(self.clock.now, worker.id),
-                    self.recuts.poll_timeout_s or 0.5,
+                    self.recuts.poll_timeout_s,
                 )
                 return
             running, ends = response
