Log the life of a worker with the ends and losses of its runs

Cause: task_started names the life that it is meant for, the lines of ends and lost runs named only the worker.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/reconciler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/reconciler.py
@@ -289,6 +289,7 @@
             task=list(task.id),
             run=task.run,
             on=task.worker,
+            life=task.incarnation,
             reason=reason,
             losses=len(task.crashes),
         )
@@ -305,7 +306,11 @@
             worker.foreign_runs[key] = (size, fills)
             worker.reserve(size, fills)
             self._state.note(
-                "foreign_run", task=list(progress.task), run=progress.run, on=worker.id
+                "foreign_run",
+                task=list(progress.task),
+                run=progress.run,
+                on=worker.id,
+                life=worker.incarnation,
             )
         assert worker.entry is not None
         self._state.effects.append(
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/run_end_handler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/run_end_handler.py
@@ -49,6 +49,7 @@
             task=list(run_end.task),
             run=run_end.run,
             on=worker.id,
+            life=worker.incarnation,
             how=run_end.kind.value,
         )
         if task is None or not counts:
