Draw restarts and cuts of workers without killing the planner

With one planner it needs no lost record: the worker is cut off before the planner's poll reaches its next life, so the planner counts the 6 s of its order, and the worker holds 10 s. The emulator drew this only beside kills, and no test said that one planner is enough.

--- a/testkit/planning/recuts.py
+++ b/testkit/planning/recuts.py
@@ -32,17 +32,27 @@
     """Crashes workers that return under their ids, and cuts them off afterwards.
 
     Orders that are sent meanwhile may reach the incarnation that follows the one that
-    they are meant for. In most cases, the planner is killed between the return and the
-    cut, or soon after: its successor has seen nothing of the incarnation before.
+    they are meant for. If the planner is killed between the return and the cut, or soon
+    after, its successor has seen nothing of the incarnation before.
     """
 
     def __init__(
-        self, world: World, seed: int, zones: Sequence[str], count: int
+        self,
+        world: World,
+        seed: int,
+        zones: Sequence[str],
+        count: int,
+        kill_share: float,
     ) -> None:
+        """Create a source of restarts.
+
+        :param kill_share: share of them in which the planner is killed
+        """
         self._world = world
         self._random = Random(f"recut {seed}")
         self._zones = zones
         self._count = count
+        self._kill_share = kill_share
 
     @property
     def poll_timeout_s(self) -> float:
@@ -82,7 +92,7 @@
         cut_s = random.uniform(8, 16)
         for worker in workers:
             world.clock.after(cut_at_s, partial(world.cut_off, worker, cut_s))
-        if random.random() < 0.7:
+        if random.random() < self._kill_share:
             elect_s = random.uniform(0.1, 1)
             world.clock.after(kill_at_s, lambda: world.replace_planner(elect_s))
 
--- a/tests/planner/test_mutations.py
+++ b/tests/planner/test_mutations.py
@@ -14,6 +14,7 @@
 from testkit.planning.rule_checker import RuleViolationError
 from testkit.planning.world import Scenario, World
 
+from .test_recut_workers import make_one_planner_scenario
 from .test_recut_workers import make_scenario as make_recut_scenario
 from .test_scenarios import SEEDS
 from .test_two_planners import make_scenario
@@ -27,6 +28,9 @@
 RECUT_SEEDS = range(70, 80)
 """Seeds of the simulated scenarios in which workers restart and are cut off."""
 
+ONE_PLANNER_SEEDS = (5, 85)
+"""Like ``RECUT_SEEDS``, where the planner is kept; each of them detects the faults."""
+
 
 def find_detecting_seed(name: str, scenarios: Iterable[Scenario]) -> int | None:
     """Return the first seed whose scenario detects a mutant, or None."""
@@ -63,6 +67,15 @@
                 scenarios = map(make_recut_scenario, RECUT_SEEDS)
                 self.assertIsNotNone(find_detecting_seed(name, scenarios))
 
+    # Guards against scenarios with one planner in which no order reaches another life
+    # of a worker: the seeds of test_recut_workers would pass with the fault, too.
+    def test_each_mutation_of_recipients_is_detected_with_one_planner(self) -> None:
+        for name in RECIPIENT_MUTATION_BY_NAME:
+            for seed in ONE_PLANNER_SEEDS:
+                with self.subTest(mutation=name, seed=seed):
+                    scenario = make_one_planner_scenario(seed)
+                    self.assertIsNotNone(find_detecting_seed(name, [scenario]))
+
 
 if __name__ == "__main__":
     unittest.main()
