Keep cancelled relays out of the tracebacks of a soak

What callers saw: on Python 3.11 each connection that was open when a proxy closed printed a traceback, 'Exception in callback StreamReaderProtocol.connection_made'; a real error of a relay would not be seen among them. Cause: the stream's callback asks the task of a handler for its exception, which raises if the task was cancelled. Change: LinkProxy and NetworkStandIn share RelayServer, which starts the tasks itself: cancelled ones end silently, other errors go to the event loop's handler as before.

--- a/testkit/hosted/network.py
+++ b/testkit/hosted/network.py
@@ -7,12 +7,11 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import enum
-import socket
-import struct
 from dataclasses import dataclass, field
 
+from .relay_server import RelayServer, reset
+
 READ_BYTES = 64 * 1024
 CONNECT_TIMEOUT_S = 2.0
 
@@ -62,17 +61,7 @@
 
     def reset(self) -> None:
         for writer in self.writers:
-            _reset(writer)
-
-
-def _reset(writer: asyncio.StreamWriter) -> None:
-    """Close a connection with a reset in place of an end of the stream."""
-    linger = struct.pack("ii", 1, 0)
-    with contextlib.suppress(OSError):
-        writer.get_extra_info("socket").setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, linger
-        )
-    writer.transport.abort()
+            reset(writer)
 
 
 class NetworkStandIn:
@@ -86,26 +75,17 @@
         self.place_by_address: dict[str, str] = {}
         self._cuts: list[Cut] = []
         self._connections: set[_Connection] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._server: asyncio.Server | None = None
+        self._server = RelayServer(self._handle)
 
     async def start(self) -> str:
         """Listen at a free port and return the address."""
-        self._server = await asyncio.start_server(
-            self._accept, "127.0.0.1", 0, backlog=1024
-        )
-        host, port = self._server.sockets[0].getsockname()[:2]
-        return f"{host}:{port}"
+        return await self._server.start()
 
     async def close(self) -> None:
         """Stop listening and drop all connections."""
-        if self._server is not None:
-            self._server.close()
         for connection in list(self._connections):
             connection.reset()
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._server.close()
 
     def cut(self, cut: Cut) -> None:
         """Cut all links between two groups of places, until :meth:`heal`."""
@@ -139,20 +119,14 @@
         while blocking := [cut for cut in self._cuts if cut.blocks(sender, receiver)]:
             await blocking[0].healed.wait()
 
-    async def _accept(
+    async def _handle(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        self._tasks.add(task)
         try:
             source, address = (await reader.readline()).decode().split()
             await self._forward(source, address, reader, writer)
         except* (OSError, TimeoutError, EOFError, ValueError):
             pass
-        finally:
-            self._tasks.discard(task)
-            writer.transport.abort()
 
     async def _forward(
         self,
@@ -166,7 +140,7 @@
             if cut.mode is not CutMode.SILENT:
                 writer.write(REFUSED if cut.mode is CutMode.REFUSED else OPENED)
                 if cut.mode is CutMode.RESET:
-                    _reset(writer)
+                    reset(writer)
                 return
             await cut.healed.wait()
         host, _, port = address.rpartition(":")
--- a/testkit/hosted/proxy.py
+++ b/testkit/hosted/proxy.py
@@ -5,6 +5,8 @@
 import asyncio
 import contextlib
 
+from .relay_server import RelayServer
+
 READ_BYTES = 64 * 1024
 CONNECT_TIMEOUT_S = 2.0
 
@@ -32,9 +34,8 @@
 
     def __init__(self, target: str) -> None:
         self._target = target
-        self._server: asyncio.Server | None = None
+        self._server = RelayServer(self._handle)
         self._connections: set[_Connection] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
         self._is_open = asyncio.Event()
         self._is_open.set()
         self.answers_to_cut = 0
@@ -42,20 +43,12 @@
 
     async def start(self) -> str:
         """Listen at a free port and return the address."""
-        self._server = await asyncio.start_server(
-            self._accept, "127.0.0.1", 0, backlog=1024
-        )
-        host, port = self._server.sockets[0].getsockname()[:2]
-        return f"{host}:{port}"
+        return await self._server.start()
 
     async def close(self) -> None:
         """Stop listening and drop all connections."""
-        if self._server is not None:
-            self._server.close()
         self.reset()
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._server.close()
 
     def cut(self) -> None:
         """Hold back all bytes, also those of new connections, until :meth:`heal`."""
@@ -75,12 +68,9 @@
         for connection in list(self._connections):
             connection.abort()
 
-    async def _accept(
+    async def _handle(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        self._tasks.add(task)
         host, _, port = self._target.rpartition(":")
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
@@ -96,9 +86,6 @@
                 connection.abort()
         except* (OSError, TimeoutError, EOFError):
             pass
-        finally:
-            self._tasks.discard(task)
-            writer.transport.abort()
 
     async def _pump(
         self,
