Let the hold that a connection carries anyway identify its other end

Cause: each new connection was asked for its life with a hold of its own, also one that had just answered a hold that is meant for any life, whose response says which life it is. Change: such a response identifies its connection. What is sent on a connection is checked as before, and a connection that turns out to lead to another life is closed as before. Evidence: test_answered_hold_identifies_its_connection fails before (2 holds); its companion checks that a start for another life is refused on such a connection. All tests of recipients are unchanged. The companion failed once (not sent in 0.3 s) beside other tests and load, and not in some 170 repeats; both now have a timeout of 5 s, as they guard identity, not time.

--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/worker_client.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/worker_client.py
@@ -14,12 +14,15 @@
     FencedError,
     InvalidDataError,
     OtherIncarnationError,
+    PlatformError,
     UnavailableError,
 )
 from .run_lists import decode_hold
 from .schemas import decode_order_response, format_task
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from jacinthloom_core.planner.effects import PollWorker, Start, Stop, Throttle
     from jacinthloom_core.planner.events import RunEnd, RunProgress
     from jacinthloom_wire.http_client import Exchange, Response
@@ -117,7 +120,9 @@
             body["waitMs"] = int(poll.wait_s * 1000)
         recipient = self._make_recipient(poll) if poll.incarnation else None
         timeout_s = poll.wait_s + HOLD_TIMEOUT_MARGIN_S
-        decoded = _read_hold(await self._post("/hold", body, timeout_s, recipient))
+        read_identity = None if poll.incarnation else _read_incarnation
+        response = await self._post("/hold", body, timeout_s, recipient, read_identity)
+        decoded = _read_hold(response)
         running, ends = decoded.to_running(), decoded.to_ends()
         is_complete = (
             len(decoded.endedRuns) < MAX_LISTED_ENDS
@@ -199,11 +204,18 @@
         body: dict[str, Any],
         timeout: float,
         recipient: Recipient | None = None,
+        read_identity: Callable[[Response], int] | None = None,
     ) -> Response:
         encoded = msgspec.json.encode(body)
         try:
             return await self._client.request(
-                "POST", path, encoded, self._headers, timeout, recipient=recipient
+                "POST",
+                path,
+                encoded,
+                self._headers,
+                timeout,
+                recipient=recipient,
+                read_identity=read_identity,
             )
         except OtherRecipientError as error:
             raise OtherIncarnationError(str(error)) from error
@@ -233,6 +245,14 @@
         ) from error
 
 
+def _read_incarnation(response: Response) -> int:
+    """Return the incarnation that answered a hold, or 0 if the response lacks it."""
+    try:
+        return _read_hold(response).born
+    except PlatformError:
+        return 0
+
+
 def _decode_refusal(response: Response) -> StartOutcome:
     try:
         reason = decode_order_response(response.body).reason
--- a/packages/jacinthloom-wire/src/jacinthloom_wire/http_client.py
+++ b/packages/jacinthloom-wire/src/jacinthloom_wire/http_client.py
@@ -132,6 +132,7 @@
         may_send: Callable[[], bool] | None = None,
         new_connection: bool = False,
         recipient: Recipient | None = None,
+        read_identity: Callable[[Response], int] | None = None,
     ) -> Response:
         """Send a request and return the complete response.
 
@@ -140,6 +141,8 @@
             request is not sent if it returns false
         :param new_connection: whether to open a new connection instead of reusing one
         :param recipient: process that the request is meant for; None for any
+        :param read_identity: reads the identity of the process at the other end from
+            the response, 0 if it is not there; spares the connection to be asked for it
         :raises OtherRecipientError: if another process is at the address
         :raises TransportError: if no complete response was received; ``sent`` says
             whether the request may have been sent
@@ -159,6 +162,8 @@
                 connection.writer.write(data)
                 await connection.writer.drain()
                 response = await _read_response(connection)
+                if read_identity is not None and connection.identity == 0:
+                    connection.identity = read_identity(response)
         except (OSError, EOFError, h11.ProtocolError, TimeoutError) as error:
             if connection is not None:
                 connection.close()
--- a/tests/platform_adapter/test_order_recipients.py
+++ b/tests/platform_adapter/test_order_recipients.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import unittest
+from unittest import mock
 
 from jacinthloom_core.planner.effects import PollWorker, Start
 from jacinthloom_core.planner.events import StartOutcome
 from jacinthloom_core.planner.specs import TaskId
+from jacinthloom_daemon.platform import worker_client
 from jacinthloom_daemon.platform.errors import UnavailableError
 from jacinthloom_daemon.platform.schemas import format_task
 from jacinthloom_daemon.platform.worker_client import WorkerClient
@@ -110,6 +112,24 @@
             await self.client.hold(self.make_poll(self.former, 0, AGE_MS + 6_000))
         self.assertEqual(self.worker.hold_count, 4)
 
+    # Guards against a second hold on a connection that has answered one for any life.
+    @mock.patch.object(worker_client, "START_TIMEOUT_S", 5.0)
+    async def test_answered_hold_identifies_its_connection(self) -> None:
+        await self.client.hold(self.make_poll(0, 0, 0))
+        outcome = await self.start(self.former, AGE_MS + 6_000)
+        self.assertEqual(outcome, StartOutcome.STARTED)
+        self.assertEqual(self.worker.hold_count, 1)
+
+    # Guards against a start that reaches the life that has answered such a hold, but is
+    # meant for another one.
+    @mock.patch.object(worker_client, "START_TIMEOUT_S", 5.0)
+    async def test_answered_hold_identifies_its_connection_as_another(self) -> None:
+        await self.restart()
+        await self.client.hold(self.make_poll(0, 0, 0))
+        outcome = await self.start(self.former, FAR_MS)
+        self.assertEqual(outcome, StartOutcome.OTHER_INCARNATION)
+        self.assertEqual(self.worker.started, [])
+
     # Guards against a start that counts as possibly carried out, but was not sent.
     async def test_start_is_not_sent_to_a_worker_that_does_not_identify_itself(
         self,
