Reset connections over a cut path whose process has ended, once it heals

What callers saw: nothing in the product. In soaks, a sender over a cut path learned at once that the process behind it had reset or refused the connection, and what was held for an ended process ended as an orderly close. Cause: both relays closed the other side as soon as one was reset; and bytes held for an ended process were written to its closed connection and dropped, then both sides were closed. Change: LinkProxy and NetworkStandIn pass an end, a reset or a refusal on only when the way is open, and reset the connection if bytes can't be delivered, as TCP does. Evidence: tests.test_stand_ins. Held bytes never reached the next life, before or after: a connection of ours ends at one process. 5 cases of 3 tests fail without the change.

--- a/testkit/hosted/network.py
+++ b/testkit/hosted/network.py
@@ -10,9 +10,8 @@
 import enum
 from dataclasses import dataclass, field
 
-from .relay_server import RelayServer, reset
+from .relay_server import RelayServer, has_ended, read_chunk, reset
 
-READ_BYTES = 64 * 1024
 CONNECT_TIMEOUT_S = 2.0
 
 OPENED = b"1"
@@ -155,23 +154,29 @@
         try:
             writer.write(OPENED)
             async with asyncio.TaskGroup() as group:
-                group.create_task(self._pump(reader, remote[1], source, target))
-                group.create_task(self._pump(remote[0], writer, target, source))
+                group.create_task(self._pump(connection, reader, remote, True))
+                group.create_task(
+                    self._pump(connection, remote[0], (reader, writer), False)
+                )
         finally:
             self._connections.discard(connection)
             remote[1].transport.abort()
 
     async def _pump(
         self,
+        connection: _Connection,
         reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        sender: str,
-        receiver: str,
+        receiver: tuple[asyncio.StreamReader, asyncio.StreamWriter],
+        is_request: bool,
     ) -> None:
+        places = (connection.source, connection.target)
+        way = places if is_request else places[::-1]
         while True:
-            data = await reader.read(READ_BYTES)
-            await self._wait_for_way(sender, receiver)
-            if not data:
+            data = await read_chunk(reader)
+            await self._wait_for_way(*way)
+            if reader.exception() or (data and has_ended(receiver[0])):
+                connection.reset()
+            if not data or has_ended(receiver[0]):
                 raise EOFError
-            writer.write(data)
-            await writer.drain()
+            receiver[1].write(data)
+            await receiver[1].drain()
--- a/testkit/hosted/proxy.py
+++ b/testkit/hosted/proxy.py
@@ -5,9 +5,8 @@
 import asyncio
 import contextlib
 
-from .relay_server import RelayServer
+from .relay_server import RelayServer, has_ended, read_chunk, reset
 
-READ_BYTES = 64 * 1024
 CONNECT_TIMEOUT_S = 2.0
 
 
@@ -22,6 +21,10 @@
         for writer in self.writers:
             writer.transport.abort()
 
+    def reset(self) -> None:
+        for writer in self.writers:
+            reset(writer)
+
 
 class LinkProxy:
     """Forward connections to an address.
@@ -75,34 +78,42 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 remote = await asyncio.open_connection(host, int(port))
-            connection = _Connection((writer, remote[1]))
-            self._connections.add(connection)
-            try:
-                async with asyncio.TaskGroup() as group:
-                    group.create_task(self._pump(connection, reader, remote[1], False))
-                    group.create_task(self._pump(connection, remote[0], writer, True))
-            finally:
-                self._connections.discard(connection)
-                connection.abort()
+        except (OSError, TimeoutError):
+            await self._is_open.wait()
+            reset(writer)
+            return
+        connection = _Connection((writer, remote[1]))
+        self._connections.add(connection)
+        client = (reader, writer)
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._pump(connection, reader, remote, False))
+                group.create_task(self._pump(connection, remote[0], client, True))
         except* (OSError, TimeoutError, EOFError):
             pass
+        finally:
+            self._connections.discard(connection)
+            connection.abort()
 
     async def _pump(
         self,
         connection: _Connection,
         reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
+        receiver: tuple[asyncio.StreamReader, asyncio.StreamWriter],
         is_answer: bool,
     ) -> None:
+        writer = receiver[1]
         while True:
-            data = await reader.read(READ_BYTES)
+            data = await read_chunk(reader)
             await self._is_open.wait()
             if is_answer and data and self.answers_to_drop:
                 self.answers_to_drop -= 1
                 connection.is_stalled = True
             if connection.is_stalled:
                 await asyncio.Event().wait()
-            if not data:
+            if reader.exception() or (data and has_ended(receiver[0])):
+                connection.reset()
+            if not data or has_ended(receiver[0]):
                 raise EOFError
             if is_answer and self.answers_to_cut:
                 self.answers_to_cut -= 1
--- a/testkit/hosted/relay_server.py
+++ b/testkit/hosted/relay_server.py
@@ -12,6 +12,7 @@
     from collections.abc import Awaitable, Callable
 
 BACKLOG = 1024
+READ_BYTES = 64 * 1024
 
 
 class RelayServer:
@@ -79,3 +80,16 @@
             socket.SOL_SOCKET, socket.SO_LINGER, linger
         )
     writer.transport.abort()
+
+
+async def read_chunk(reader: asyncio.StreamReader) -> bytes:
+    """Return the next bytes; none if the stream has ended or was reset."""
+    try:
+        return await reader.read(READ_BYTES)
+    except OSError:
+        return b""
+
+
+def has_ended(reader: asyncio.StreamReader) -> bool:
+    """Whether the other end of a connection has closed or reset it."""
+    return reader.at_eof() or reader.exception() is not None
