End the calls of a stand-in for a worker with the life that received them

What callers saw: nothing in the product. A call that arrived while a life ended could start a run after crash(), whose timers then acted on the next life's lists: a soak might show TWICE, or a traceback, for a fault of the stand-in. Cause: crash() forgets the runs, then waits for its server, which still answers calls under way; these acted on the worker, whichever life it was in. Change: each call belongs to the life that received it, and raises an error once that has ended. Late orders go by the life as well, in place of its start time in milliseconds. Evidence: tests.test_stand_ins, a call whose last bytes arrive with the crash fails without the change. Calls that sleep in _handle, by orders_to_delay or mute_until, died with their life before too, since the server cancels them; two tests say so.

--- a/testkit/hosted/worker.py
+++ b/testkit/hosted/worker.py
@@ -93,6 +93,7 @@
         self.address = ""
         self.listed_address = ""
         """Address in the worker's entry, if it is reached through another one."""
+        self._life = 0
         self._begin_incarnation(FIRST_AGE_S)
 
     def _begin_incarnation(self, age_s: float = 0.0) -> None:
@@ -106,7 +107,8 @@
         self._ended_count = 0
         self._lapse_timer: asyncio.TimerHandle | None = None
         self._has_ended = asyncio.Event()
-        self._server = HttpServer(self._handle)
+        life = self._life
+        self._server = HttpServer(lambda request: self._handle(life, request))
 
     @property
     def started(self) -> list[tuple[str, int]]:
@@ -125,8 +127,9 @@
             await self.crash()
 
     async def crash(self) -> None:
-        """End this incarnation: whatever runs is lost, and calls are refused."""
+        """End this incarnation with its runs and calls; further calls are refused."""
         self.is_up = False
+        self._life += 1
         for run in list(self._run_by_task.values()):
             self._forget(run, "lost")
         if self._lapse_timer is not None:
@@ -159,7 +162,13 @@
         head = {"clockMs": self._clock_ms, "born": self.born}
         return ServerResponse.from_json(status, head | fields)
 
-    async def _handle(self, request: Request) -> ServerResponse:
+    def _check_life(self, life: int) -> None:
+        """Raise an error if the incarnation that received a call has ended."""
+        if life != self._life:
+            raise ConnectionResetError
+
+    async def _handle(self, life: int, request: Request) -> ServerResponse:
+        self._check_life(life)
         if time.monotonic() < self.mute_until:
             await asyncio.sleep(max(0.0, self.mute_until - time.monotonic()))
             raise ConnectionResetError
@@ -167,22 +176,25 @@
         if request.headers.get("x-jacinthloom-expect-instance") != self.id:
             return self._respond(421)
         if request.path == "/hold":
-            return await self._on_hold(body)
+            response = await self._on_hold(body)
+            self._check_life(life)
+            return response
         execute = self._on_start if request.path == "/run-start" else self._on_stop
         if self.orders_to_delay:
             self.orders_to_delay -= 1
             loop = asyncio.get_running_loop()
-            loop.call_later(self.delay_s, self._execute_late, execute, body, self.born)
+            loop.call_later(self.delay_s, self._execute_late, execute, body, life)
             await asyncio.sleep(self.delay_s + 1)
+            self._check_life(life)
         return execute(body, False)
 
     def _execute_late(
         self,
         execute: Callable[[dict[str, Any], bool], ServerResponse],
         body: dict[str, Any],
-        incarnation: int,
+        life: int,
     ) -> None:
-        if self.is_up and self.born == incarnation:
+        if life == self._life:
             execute(body, True)
 
     def _is_fenced(self, body: dict[str, Any]) -> bool:
--- a/tests/test_stand_ins.py
+++ b/tests/test_stand_ins.py
@@ -186,5 +186,49 @@
         self.assertEqual(self.worker.started, [])
 
 
+class RestartedWorkerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.worker = WorkerStandIn("w1", run_s=5.0)
+        await self.worker.start()
+        _, self.writer = await open_connection(self.worker.address)
+        await asyncio.sleep(0.1)
+
+    async def asyncTearDown(self) -> None:
+        self.writer.close()
+        await self.worker.close()
+
+    async def check_next_life(self) -> None:
+        await self.worker.restart()
+        await asyncio.sleep(1.6)
+        self.assertEqual(self.worker.started, [])
+        self.assertEqual(self.worker.renewals, [])
+
+    # Guards against a call that arrives while its life ends and sets runs, timers and
+    # ends that the next life shows as its own.
+    async def test_call_that_arrives_at_the_end_of_a_life_does_nothing(self) -> None:
+        request = make_start(90_000)
+        self.writer.write(request[:-9])
+        await asyncio.sleep(0.1)
+        self.writer.write(request[-9:])
+        await self.worker.crash()
+        await self.check_next_life()
+
+    async def test_late_call_dies_with_its_life(self) -> None:
+        self.worker.orders_to_delay = 1
+        self.worker.delay_s = 0.3
+        self.writer.write(make_start(90_000))
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.worker.orders_to_delay, 0)
+        await self.worker.crash()
+        await self.check_next_life()
+
+    async def test_dropped_call_dies_with_its_life(self) -> None:
+        self.worker.mute_until = asyncio.get_running_loop().time() + 0.5
+        self.writer.write(make_start(90_000))
+        await asyncio.sleep(0.1)
+        await self.worker.crash()
+        await self.check_next_life()
+
+
 if __name__ == "__main__":
     unittest.main()
