Name the incarnation of a worker in orders and cursors

Callers saw: after a worker process ended and another one started at its address, requests that had run ended as `unknown` after 6 s, tasks that were done ran again, and a non-idempotent request could run twice.

Cause: the protocol of our own workers had no incarnation; what was meant for one was taken by the next one under the same name. - Completions are read behind a cursor of the former life. The next one numbers its own from 1, so those up to the cursor are skipped: in the shell until the first long poll returns (2 s), in the core again at each reopening. The attempt is then renewed, found missing, and given up as unknown. - A start that the former life took, and whose response was lost with it, is not in the next one's report. That was taken as proof that it never ran: the grant went back and was given again (TWICE). For an order that reaches the next life, the owner counted a task there that it believed to be in the former one. - Attempts that ran on the former life ended only when a renewal missed them.

Change: a worker's reports and completions carry `incarnation`, a text chosen at its start. Exchanges and reads of completions name it; another incarnation refuses them with 421, so that their starts count as not sent and go elsewhere. The owner then marks the worker unreachable as it did before and asks for a report; if this names another incarnation, the cursor begins at 0 and all that was sent to the former one and is not listed is lost by the path for lost attempts. Workers that tell no incarnation get the same requests as before. `worker_restarted` is a new kind of note.

Schedules without restarts draw what they drew before.

--- a/packages/jacinthloom-core/src/jacinthloom_core/model/effects.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/model/effects.py
@@ -40,6 +40,8 @@
     :param valid_until: monotonic time after which nothing may be sent
     :param act_before: wall-clock time after which the worker must ignore the commands
     :param checkpoints: attempts to checkpoint and stop
+    :param incarnation: incarnation of the worker that the commands are meant for; empty
+        if it does not identify itself
     """
 
     worker: str
@@ -53,6 +55,7 @@
     stops: tuple[str, ...] = ()
     checkpoints: tuple[str, ...] = ()
     throttles: tuple[str, ...] = ()
+    incarnation: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,11 +69,15 @@
 
 @dataclass(frozen=True, slots=True)
 class WatchWorker(Effect):
-    """Stream the completions of a worker, starting after a cursor."""
+    """Stream the completions of a worker, starting after a cursor.
+
+    :param incarnation: incarnation of the worker that the cursor is meant for
+    """
 
     worker: str
     address: str
     cursor: int
+    incarnation: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/jacinthloom-core/src/jacinthloom_core/model/events.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/model/events.py
@@ -104,7 +104,8 @@
 class ExchangeFailed(Event):
     """An exchange got no response.
 
-    :param sent: whether any byte of it may have left the process
+    :param sent: whether any byte of it may have left the process; false as well if
+        another incarnation of the worker refused it
     """
 
     worker: str
@@ -124,11 +125,13 @@
     """Completions were read from a worker.
 
     :param cursor: number of the last completion
+    :param incarnation: incarnation of the worker that the cursor belongs to
     """
 
     worker: str
     completions: tuple[Completion, ...]
     cursor: int
+    incarnation: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/jacinthloom-core/src/jacinthloom_core/model/reports.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/model/reports.py
@@ -62,12 +62,14 @@
     :param fence: fencing token: the highest view number that the worker enforces on
         callers; -1 if it does not fence
     :param cursor: number of its latest completion
+    :param incarnation: identity that it chose at its start; empty if it has none
     """
 
     capacity: Resources
     running: tuple[RunningTask, ...]
     fence: int
     cursor: int
+    incarnation: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/jacinthloom-core/src/jacinthloom_core/worker_owners/attempt_tracker.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/worker_owners/attempt_tracker.py
@@ -128,7 +128,8 @@
             return
         for completion in event.completions:
             self._handle_completion(worker, completion)
-        worker.cursor = max(worker.cursor, event.cursor)
+        if event.incarnation == worker.incarnation:
+            worker.cursor = max(worker.cursor, event.cursor)
         self._dispatcher.schedule()
 
     def _handle_completion(self, worker: Worker, completion: Completion) -> None:
@@ -168,12 +169,21 @@
 
     def _apply_report(self, worker: Worker, event: WorkerReported) -> None:
         report = event.report
+        has_restarted = self._owned_workers.adopt_incarnation(
+            worker, report.incarnation
+        )
+        if has_restarted:
+            self._context.note("worker_restarted", worker.name)
         worker.capacity = report.capacity
         running = {task.key for task in report.running}
         self._stop_unknown(worker, running)
         for attempt in list(worker.attempt_by_key.values()):
             attempt.missing_since = 0.0
-            if attempt.phase != "held":
+            if attempt.phase == "held":
+                continue
+            if has_restarted and attempt.key not in running:
+                self._resolve_at_restart(worker, attempt)
+            else:
                 self._resolve_attempt(worker, attempt, report, event.asked)
         self._owned_workers.reopen(worker)
         self._dispatcher.mark_dirty(worker)
@@ -210,6 +220,11 @@
             return
         self._report_lost(worker, attempt, "its worker no longer runs it")
 
+    def _resolve_at_restart(self, worker: Worker, attempt: Attempt) -> None:
+        """Give up an attempt that the former incarnation of a worker may have run."""
+        if self._was_sent(worker, attempt):
+            self._report_lost(worker, attempt, "its worker has restarted")
+
     def _was_sent(self, worker: Worker, attempt: Attempt) -> bool:
         return all(grant.key != attempt.key for grant in worker.starts)
 
--- a/packages/jacinthloom-core/src/jacinthloom_core/worker_owners/exchanges.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/worker_owners/exchanges.py
@@ -76,6 +76,7 @@
                 tuple(sorted(worker.stops)),
                 tuple(sorted(worker.checkpoints)),
                 tuple(sorted(worker.throttles)),
+                worker.incarnation,
             )
         )
         worker.starts = []
--- a/packages/jacinthloom-core/src/jacinthloom_core/worker_owners/owned_workers.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/worker_owners/owned_workers.py
@@ -161,10 +161,22 @@
     def _adopt_report(self, worker: Worker, report: WorkerReport) -> None:
         for attempt in list(worker.attempt_by_key.values()):
             self.drop_attempt(worker, attempt)
+        self.adopt_incarnation(worker, report.incarnation)
         worker.capacity = report.capacity
         for task in report.running:
             self.add_attempt(worker, self._make_found_attempt(worker, task))
 
+    def adopt_incarnation(self, worker: Worker, incarnation: str) -> bool:
+        """Note which incarnation a worker reports; return whether it is another one.
+
+        An incarnation numbers its completions from 1.
+        """
+        if incarnation == worker.incarnation:
+            return False
+        worker.incarnation = incarnation
+        worker.cursor = 0
+        return True
+
     def _make_found_attempt(self, worker: Worker, task: RunningTask) -> Attempt:
         now = self._context.now
         lease = lease_duration_s(task.kind) * MAX_CLOCK_RATE_RATIO
@@ -253,21 +265,25 @@
         self._open(worker)
 
     def _open(self, worker: Worker) -> None:
-        worker.phase = "open"
-        worker.next_renewal = 0.0
-        self._add_to_capacity(worker)
-        self._context.emit(WatchWorker(worker.name, worker.info.address, worker.cursor))
+        self._use(worker)
         self._context.note(
             "worker_opened", worker.name, f"{len(worker.attempt_by_key)} attempts run"
         )
 
     def reopen(self, worker: Worker) -> None:
         """Open a worker that answers again."""
+        self._use(worker)
+        self._context.note("worker_reachable", worker.name)
+
+    def _use(self, worker: Worker) -> None:
         worker.phase = "open"
         worker.next_renewal = 0.0
         self._add_to_capacity(worker)
-        self._context.emit(WatchWorker(worker.name, worker.info.address, worker.cursor))
-        self._context.note("worker_reachable", worker.name)
+        self._context.emit(
+            WatchWorker(
+                worker.name, worker.info.address, worker.cursor, worker.incarnation
+            )
+        )
 
     def mark_unreachable(self, worker: Worker) -> None:
         """Stop using a worker until it answers on a new connection."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/worker_owners/workers.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/worker_owners/workers.py
@@ -66,6 +66,7 @@
     :param ready_at: monotonic time from which no earlier owner can have authority
     :param exchange: number of the exchange in flight; 0 if there is none
     :param cursor: number of the latest completion that was read
+    :param incarnation: incarnation that it last reported; empty if it reports none
     :param fences: whether it refuses callers of earlier views
     """
 
@@ -77,6 +78,7 @@
     attempt_by_key: dict[str, Attempt] = field(default_factory=dict)
     exchange: int = 0
     cursor: int = 0
+    incarnation: str = ""
     next_report: float = 0.0
     next_renewal: float = 0.0
     stops: set[str] = field(default_factory=set)
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/logs.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/logs.py
@@ -15,6 +15,7 @@
         "worker_given_up",
         "worker_opened",
         "worker_reachable",
+        "worker_restarted",
         "worker_unreachable",
         "worker_quarantined",
         "worker_returned",
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/shell.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/shell.py
@@ -23,7 +23,7 @@
     UnwatchWorker,
     WatchWorker,
 )
-from jacinthloom_wire.errors import TransportError, WireError
+from jacinthloom_wire.errors import OtherRecipientError, TransportError, WireError
 from jacinthloom_wire.host_list import HostListClient
 from jacinthloom_wire.log_client import LogClient
 from jacinthloom_wire.peer_stream import PeerServer, PeerStream
@@ -331,7 +331,9 @@
         failures = 0
         while failures < MAX_WATCH_FAILURES:
             try:
-                result = await client.read_completions(cursor)
+                result = await client.read_completions(cursor, effect.incarnation)
+            except OtherRecipientError:
+                break
             except WireError:
                 failures += 1
                 await asyncio.sleep(WATCH_RETRY_INTERVAL_S)
@@ -340,7 +342,11 @@
             cursor = result.cursor
             self.handle(
                 events.CompletionsRead(
-                    *_read_clocks(), effect.worker, result.completions, cursor
+                    *_read_clocks(),
+                    effect.worker,
+                    result.completions,
+                    cursor,
+                    effect.incarnation,
                 )
             )
         self.handle(events.ExchangeFailed(*_read_clocks(), effect.worker, 0, True))
--- a/packages/jacinthloom-wire/src/jacinthloom_wire/errors.py
+++ b/packages/jacinthloom-wire/src/jacinthloom_wire/errors.py
@@ -19,7 +19,10 @@
 
 
 class OtherRecipientError(TransportError):
-    """Another process than the intended one is at the other end; nothing was sent."""
+    """Another process than the intended one is at the other end.
+
+    It was sent nothing, or refused what it was sent.
+    """
 
     def __init__(self, message: str) -> None:
         super().__init__(message, False)
--- a/packages/jacinthloom-wire/src/jacinthloom_wire/worker_client.py
+++ b/packages/jacinthloom-wire/src/jacinthloom_wire/worker_client.py
@@ -5,6 +5,7 @@
 import json
 from dataclasses import asdict, dataclass
 from typing import TYPE_CHECKING, Any
+from urllib.parse import quote
 
 from jacinthloom_core.model.reports import (
     Completion,
@@ -16,7 +17,7 @@
 from jacinthloom_core.model.resources import Resources
 from jacinthloom_core.model.settings import lease_duration_s
 
-from .errors import FormatError
+from .errors import FormatError, OtherRecipientError
 from .http_client import HttpClient
 
 if TYPE_CHECKING:
@@ -25,6 +26,8 @@
     from jacinthloom_core.model.effects import Exchange
     from jacinthloom_core.model.work import Grant
 
+    from .http_client import Response
+
 EXCHANGE_TIMEOUT_S = 3.0
 """Timeout of an exchange, in seconds."""
 
@@ -38,6 +41,10 @@
 """Seconds that reading completions may take beyond that wait."""
 
 
+OTHER_INCARNATION_STATUS = 421
+"""Status of a worker's refusal of a request that is meant for another incarnation."""
+
+
 @dataclass(frozen=True, slots=True)
 class ExchangeResult:
     """A worker's response to an exchange.
@@ -75,6 +82,7 @@
 
         :param may_send: called immediately before the first byte is written; the
             request is not sent if it returns false
+        :raises OtherRecipientError: if another incarnation of the worker refused it
         :raises TransportError: if no complete response was received; ``sent`` says
             whether the request may have been sent
         :raises StatusError: if the response has an error status
@@ -84,6 +92,7 @@
         response = await self._commands.request(
             "POST", "/exchange", body, timeout=EXCHANGE_TIMEOUT_S, may_send=may_send
         )
+        _check_recipient(response, commands.incarnation)
         data = response.parse_json()
         try:
             return ExchangeResult(
@@ -115,23 +124,35 @@
                 tuple(_parse_running(item) for item in data["running"]),
                 data["fence"],
                 data["cursor"],
+                _parse_incarnation(data),
             )
         except (KeyError, TypeError) as error:
             raise FormatError(
                 f"unexpected format of the worker's response: {error}"
             ) from error
 
-    async def read_completions(self, cursor: int) -> CompletionsResult:
+    async def read_completions(
+        self, cursor: int, incarnation: str = ""
+    ) -> CompletionsResult:
         """Fetch the attempts that ended after a cursor (long poll).
 
+        :param incarnation: incarnation of the worker that the cursor is meant for
+        :raises OtherRecipientError: if another incarnation responds
         :raises WireError: if there was no valid response
         """
+        path = f"/completions?after={cursor}&wait={COMPLETIONS_WAIT_S}"
+        if incarnation:
+            path += f"&incarnation={quote(incarnation, safe='')}"
         response = await self._completions.request(
-            "GET",
-            f"/completions?after={cursor}&wait={COMPLETIONS_WAIT_S}",
-            timeout=COMPLETIONS_WAIT_S + COMPLETIONS_MARGIN_S,
+            "GET", path, timeout=COMPLETIONS_WAIT_S + COMPLETIONS_MARGIN_S
         )
+        _check_recipient(response, incarnation)
         data = response.parse_json()
+        found = _parse_incarnation(data)
+        if found != incarnation:
+            raise OtherRecipientError(
+                f"incarnation {found!r} has taken the place of {incarnation!r}"
+            )
         try:
             completions = tuple(_parse_completion(i) for i in data["completions"])
             return CompletionsResult(completions, data["cursor"])
@@ -147,8 +168,28 @@
         self._reports.close()
 
 
+def _check_recipient(response: Response, incarnation: str) -> None:
+    """Check that a worker did not refuse a request for another incarnation.
+
+    :raises OtherRecipientError: if it did
+    """
+    if incarnation and response.status == OTHER_INCARNATION_STATUS:
+        raise OtherRecipientError(f"refused, as meant for incarnation {incarnation!r}")
+
+
+def _parse_incarnation(data: Any) -> str:
+    """Return the incarnation of a response; empty if the worker has none.
+
+    :raises FormatError: if it is not a text, or the response is not an object
+    """
+    incarnation = data.get("incarnation", "") if isinstance(data, dict) else None
+    if not isinstance(incarnation, str):
+        raise FormatError(f"the worker's incarnation is not a text: {incarnation!r}")
+    return incarnation
+
+
 def _encode_exchange(commands: Exchange) -> dict[str, object]:
-    return {
+    body = {
         "view": commands.view,
         "act_before": commands.act_before,
         "starts": [_encode_start(grant) for grant in commands.starts],
@@ -157,6 +198,9 @@
         "checkpoints": commands.checkpoints,
         "throttles": commands.throttles,
     }
+    if commands.incarnation:
+        body["incarnation"] = commands.incarnation
+    return body
 
 
 def _encode_start(grant: Grant) -> dict[str, object]:
--- a/testkit/cluster.py
+++ b/testkit/cluster.py
@@ -112,7 +112,9 @@
                         }
                     )
 
-    async def _start_standin(self, role: str, plan: list[dict[str, Any]]) -> None:
+    async def _start_standin(
+        self, role: str, plan: list[dict[str, Any]], address: str = "127.0.0.1:0"
+    ) -> None:
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
@@ -120,6 +122,8 @@
             role,
             "--plan",
             json.dumps(plan),
+            "--address",
+            address,
             stdout=asyncio.subprocess.PIPE,
         )
         self.process_by_name[role] = process
@@ -128,6 +132,12 @@
             line = await process.stdout.readline()
         self.address_by_name[role] = line.decode().strip()
 
+    async def restart_workers(self) -> None:
+        """Kill the worker stand-ins and start new ones at the same address."""
+        await self.kill("workers")
+        address = self.address_by_name["workers"]
+        await self._start_standin("workers", self.workers, address)
+
     async def start_entry(self, name: str) -> None:
         """Start an entry process, or restart one with its earlier settings."""
         if name not in self.settings_by_entry:
@@ -262,7 +272,7 @@
         os.kill(self.process_by_name[name].pid, signal_number)
 
     async def kill(self, name: str) -> None:
-        """Kill an entry process; its settings are kept for a restart."""
+        """Kill a process; the settings of an entry process are kept for a restart."""
         self.signal(name, signal.SIGKILL)
         await self.process_by_name[name].wait()
 
--- a/testkit/virtual/platform.py
+++ b/testkit/virtual/platform.py
@@ -68,6 +68,8 @@
     :param down: whether it is unreachable; its tasks run on until their leases expire
     :param fail_all: whether every task fails
     :param fence: latest view seen, the fencing token
+    :param life: number of its incarnation
+    :param identifies: whether it tells its incarnation
     """
 
     info: HostInfo
@@ -79,6 +81,20 @@
     fence: int = 0
     task_by_key: dict[str, VirtualTask] = field(default_factory=dict)
     completions: list[Completion] = field(default_factory=list)
+    life: int = 1
+    identifies: bool = True
+
+    @property
+    def incarnation(self) -> str:
+        """Identity of its incarnation; empty if it does not tell it."""
+        return f"life-{self.life}" if self.identifies else ""
+
+    def restart(self) -> None:
+        """Begin a new incarnation, without the tasks and completions of this one."""
+        self.life += 1
+        self.fence = 0
+        self.task_by_key.clear()
+        self.completions.clear()
 
     @property
     def committed_resources(self) -> Resources:
@@ -193,4 +209,10 @@
             for key, task in self.task_by_key.items()
         )
         fence = self.fence if self.fences else -1
-        return WorkerReport(self.capacity, running, fence, len(self.completions))
+        return WorkerReport(
+            self.capacity, running, fence, len(self.completions), self.incarnation
+        )
+
+    def refuses(self, incarnation: str) -> bool:
+        """Return whether it refuses a request for an incarnation, or for any."""
+        return bool(incarnation) and incarnation != self.incarnation
--- a/testkit/virtual/process.py
+++ b/testkit/virtual/process.py
@@ -47,6 +47,7 @@
         self.watch_failures_by_worker: dict[str, int] = {}
         self.pending_deliveries: deque[Callable[[], None]] = deque()
         self.cursor_by_watched_worker: dict[str, int] = {}
+        self.incarnation_by_watched_worker: dict[str, str] = {}
         settings = MemberSettings(self.id, f"{name}:1", zone, f"{name}:2")
         self.member = make_member(settings)
 
--- a/testkit/virtual/schedule.py
+++ b/testkit/virtual/schedule.py
@@ -215,6 +215,17 @@
 
         self.world.at(self.random.choice((1.0, 8.0, 40.0)), restore)
 
+    def restart_worker(self) -> None:
+        """Restart a worker, which is unreachable for up to 8 s."""
+        worker = self.random.choice(list(self.world.worker_by_name.values()))
+        worker.down = True
+
+        def restore() -> None:
+            worker.restart()
+            worker.down = False
+
+        self.world.at(self.random.choice((0.0, 0.1, 1.0, 8.0)), restore)
+
     def spoil_worker(self) -> None:
         """Make a worker fail every task for 15 s."""
         worker = self.random.choice(list(self.world.worker_by_name.values()))
@@ -276,14 +287,23 @@
             self.spoil_worker,
         ]
 
-    def run(self, steps: int, gap_s: float = 1.5, harsh: bool = False) -> None:
+    def run(
+        self,
+        steps: int,
+        gap_s: float = 1.5,
+        harsh: bool = False,
+        restarts: bool = False,
+    ) -> None:
         """Apply random actions, then wait until all work has ended.
 
         :param steps: number of actions
         :param gap_s: mean time between two actions
         :param harsh: whether to choose from the actions that cause view changes
+        :param restarts: whether workers restart as well, as often as work arrives
         """
         actions = self.list_harsh_actions() if harsh else self.list_actions()
+        if restarts:
+            actions += [self.restart_worker] * 6
         for _ in range(steps):
             self.random.choice(actions)()
             self.world.run(self.random.uniform(0.0, 2 * gap_s))
--- a/testkit/virtual/world.py
+++ b/testkit/virtual/world.py
@@ -230,6 +230,9 @@
                 self._request_report(process, effect)
             case WatchWorker():
                 process.cursor_by_watched_worker[effect.worker] = effect.cursor
+                process.incarnation_by_watched_worker[effect.worker] = (
+                    effect.incarnation
+                )
             case UnwatchWorker():
                 process.cursor_by_watched_worker.pop(effect.worker, None)
             case Reply():
@@ -305,36 +308,43 @@
                 self._count_watch_failure(process, name)
                 continue
             process.watch_failures_by_worker.pop(name, None)
+            if worker.incarnation != process.incarnation_by_watched_worker[name]:
+                self._fail_watch(process, name)
+                continue
             if self._draw_loss() or len(worker.completions) <= cursor:
                 continue
             found = tuple(worker.completions[cursor:])
             process.cursor_by_watched_worker[name] = len(worker.completions)
-            self._deliver_completions(process, name, found, len(worker.completions))
+            self._deliver_completions(process, worker, found)
 
     def _count_watch_failure(self, process: VirtualProcess, name: str) -> None:
         failures = process.watch_failures_by_worker.get(name, 0) + 1
         process.watch_failures_by_worker[name] = failures
         if failures == MAX_WATCH_FAILURES:
             process.watch_failures_by_worker.pop(name)
-            process.cursor_by_watched_worker.pop(name)
-            self._deliver(
-                process,
-                lambda now, wall: events.ExchangeFailed(now, wall, name, 0, True),
-            )
+            self._fail_watch(process, name)
+
+    def _fail_watch(self, process: VirtualProcess, name: str) -> None:
+        process.cursor_by_watched_worker.pop(name)
+        self._deliver(
+            process,
+            lambda now, wall: events.ExchangeFailed(now, wall, name, 0, True),
+        )
 
     def _deliver_completions(
         self,
         process: VirtualProcess,
-        name: str,
+        worker: VirtualWorker,
         found: tuple[Completion, ...],
-        cursor: int,
     ) -> None:
+        name, cursor = worker.info.name, len(worker.completions)
+        incarnation = worker.incarnation
         self.at(
             self._draw_delay_s(),
             lambda: self._deliver(
                 process,
                 lambda now, wall: events.CompletionsRead(
-                    now, wall, name, found, cursor
+                    now, wall, name, found, cursor, incarnation
                 ),
             ),
         )
@@ -409,16 +419,27 @@
         is_expired = self.now + EPOCH >= effect.act_before
         is_fenced = worker.fences and worker.fence > effect.view
         if worker.down or is_expired or is_fenced or self._draw_loss():
-            if not worker.down and not is_expired and not is_fenced:
+            is_taken = not worker.refuses(effect.incarnation)
+            if not worker.down and not is_expired and not is_fenced and is_taken:
                 self._execute_exchange(effect, worker)
             self.at(
                 EXCHANGE_TIMEOUT_S, lambda: self._fail_exchange(process, effect, True)
             )
             return
+        if worker.refuses(effect.incarnation):
+            self.at(
+                self._draw_delay_s(),
+                lambda: self._fail_exchange(process, effect, False),
+            )
+            return
         results, uses, missing = self._execute_exchange(effect, worker)
-        self.at(
-            self._draw_delay_s(),
-            lambda: self._deliver(
+        life = worker.life
+
+        def respond() -> None:
+            if worker.life != life:
+                self._fail_exchange(process, effect, True)
+                return
+            self._deliver(
                 process,
                 lambda now, wall: events.ExchangeAnswered(
                     now,
@@ -429,8 +450,9 @@
                     tuple(uses),
                     tuple(missing),
                 ),
-            ),
-        )
+            )
+
+        self.at(self._draw_delay_s(), respond)
 
     def _execute_exchange(
         self, effect: Exchange, worker: VirtualWorker
--- a/testkit/worker.py
+++ b/testkit/worker.py
@@ -5,11 +5,13 @@
 import asyncio
 import contextlib
 import json
+import secrets
 import time
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
 from jacinthloom_wire.http_server import ServerResponse
+from jacinthloom_wire.worker_client import OTHER_INCARNATION_STATUS
 
 if TYPE_CHECKING:
     from jacinthloom_wire.http_server import Request
@@ -80,6 +82,7 @@
     def __init__(self, name: str, capacity: dict[str, int], fences: bool) -> None:
         self.name = name
         self.capacity = capacity
+        self.incarnation = secrets.token_hex(8)
         self.switches = WorkerSwitches()
         self.fence = 0 if fences else -1
         self.task_by_key: dict[str, _Task] = {}
@@ -177,10 +180,21 @@
             "running": running,
             "fence": self.fence,
             "cursor": self._cursor,
+            "incarnation": self.incarnation,
         }
         return ServerResponse.from_json(200, body)
 
+    def _refuse_other(self, incarnation: str) -> ServerResponse | None:
+        """Return a refusal of a request for another incarnation, or None."""
+        if incarnation == self.incarnation:
+            return None
+        body = {"error": f"this is incarnation {self.incarnation}"}
+        return ServerResponse.from_json(OTHER_INCARNATION_STATUS, body)
+
     async def _exchange(self, body: dict[str, Any]) -> ServerResponse:
+        refusal = self._refuse_other(body.get("incarnation", self.incarnation))
+        if refusal is not None:
+            return refusal
         if time.time() >= body["act_before"]:
             return ServerResponse.from_json(410, {"error": "too late"})
         if self.fence > body["view"]:
@@ -253,6 +267,9 @@
         return True
 
     async def _read_completions(self, request: Request) -> ServerResponse:
+        refusal = self._refuse_other(request.query.get("incarnation", self.incarnation))
+        if refusal is not None:
+            return refusal
         after = int(request.query["after"])
         wait = float(request.query["wait"])
         if after >= self._cursor and wait > 0:
@@ -270,7 +287,11 @@
         ]
         if self.switches.shuffle:
             completions.reverse()
-        body = {"cursor": self._cursor, "completions": completions}
+        body = {
+            "cursor": self._cursor,
+            "completions": completions,
+            "incarnation": self.incarnation,
+        }
         return ServerResponse.from_json(200, body)
 
 
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -25,6 +25,7 @@
     "tests.test_process_faults",
     "tests.test_soak",
     "tests.test_thin_path",
+    "tests.test_worker_process_restarts",
 )
 """Modules that start entry processes, in the order in which they run."""
 
