Forget the loss of a worker that answers a successor in the same life

What callers saw: jobs that could be done are shown as failed, as one of their tasks was lost with four workers, some of which had not crashed. Cause: only the planner that had noticed the silence forgot a loss when the worker answered again. Its successor loaded or recorded the loss, and kept it. Change: the first answer to a planner also removes the losses recorded for that life, and the record of the occurrence is stored again. The test fails without the change. Run: make check and the unit tests of test_deadly_tasks, takeover, returned and dead workers.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/crashes.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/crashes.py
@@ -153,8 +153,11 @@
         lost = sum(other.rack == loss.rack and other.overlaps(loss) for other in losses)
         return lost > 1 and 2 * lost >= present
 
-    def on_worker_returned(self, worker: Worker) -> None:
-        """Forget the loss of a worker that answers again: it did not crash."""
+    def forget_losses(self, worker: Worker) -> None:
+        """Forget the losses of a worker in the life in which it answers.
+
+        It did not crash. An earlier planner may have recorded them.
+        """
         returned = (worker.id, worker.incarnation)
         self._state.recent_losses = [
             loss
@@ -163,13 +166,18 @@
         ]
         crashed = self._state.crashed_task_by_id
         for task in list(crashed.values()):
-            task.crashes = [
+            crashes = [
                 crash
                 for crash in task.crashes
                 if (crash.worker, crash.incarnation) != returned
             ]
+            if len(crashes) == len(task.crashes):
+                continue
+            task.crashes = crashes
+            self._state.store_occurrence(task.step.occurrence)
             if not task.crashes:
                 del crashed[task.id]
+        self._state.needs_pass = True
 
 
 def _is_to_blame(task: Task, affected: list[Task]) -> bool:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/reconciler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/reconciler.py
@@ -152,6 +152,7 @@
             else:
                 self._state.lose_contact(worker, event.now)
             worker.incarnation = event.incarnation
+            self._crash_handler.forget_losses(worker)
             worker.cursor = 0
             worker.confirmed_cursor = 0
             worker.seen_end = 0
@@ -183,7 +184,7 @@
 
     def _on_same_incarnation(self, worker: Worker) -> None:
         if worker.loss is not None and worker.loss.incarnation == worker.incarnation:
-            self._crash_handler.on_worker_returned(worker)
+            self._crash_handler.forget_losses(worker)
             worker.loss = None
 
     def _reduce_ends(self, worker: Worker, event: WorkerPolled) -> None:
--- a/tests/planner/test_deadly_tasks.py
+++ b/tests/planner/test_deadly_tasks.py
@@ -58,13 +58,13 @@
         for number in range(8):
             self.list_worker(f"w{number}")
 
-    def elect_planner(self, term: int) -> None:
+    def elect_planner(self, term: int, *silent: str) -> None:
         self.planner = make_planner(term, self.store, self.now)
         self.planner.handle(events.WorkerUnlisted(self.now, "w1"))
         for worker in self.incarnation_by_worker:
-            self.list_worker(worker)
+            self.list_worker(worker, worker in silent)
 
-    def list_worker(self, worker: str) -> None:
+    def list_worker(self, worker: str, is_silent: bool = False) -> None:
         incarnation = self.incarnation_by_worker.setdefault(worker, 5)
         entry = replace(
             ENTRY,
@@ -74,7 +74,10 @@
             incarnation=incarnation,
         )
         self.apply(self.planner.handle(events.WorkerListed(self.now, entry)))
-        self.poll(worker)
+        if is_silent:
+            self.planner.handle(events.WorkerPollFailed(self.now, worker))
+        else:
+            self.poll(worker)
 
     def poll(self, worker: str) -> None:
         """Answer polls of a worker until it has seen the newest token."""
@@ -179,6 +182,19 @@
         self.poll(worker)
         self.assertEqual(task.crashes, [])
 
+    # Guards against a successor that takes a worker for crashed which answers it in the
+    # life in which its predecessor knew it.
+    def test_worker_that_answers_the_next_planner_has_not_crashed(self) -> None:
+        job = self.submit()
+        (worker,) = self.find_workers()
+        self.elect_planner(2, worker)
+        self.wait(9.0, worker)
+        (task,) = self.planner.state.job_by_id[job].tasks()
+        self.assertEqual([crash.worker for crash in task.crashes], [worker])
+        self.run_by_worker.pop(worker)
+        self.poll(worker)
+        self.assertEqual(task.crashes, [])
+
     # Guards against tasks that start beside a suspect and are blamed with it.
     def test_nothing_else_starts_beside_a_suspect(self) -> None:
         self.submit()
