Give a task up only for certain crashes

What callers saw: jobs that could be done are shown as failed at the moment at which the lease of a fourth worker expires; the worker answers seconds later, and has run on all the time. Cause: a loss of contact counted as a crash: the fourth one gave the task up, and in isolation a loss of contact did so after two crashes. Change: only a certain crash gives a task up, and two of them have to be both certain and fresh for an isolated one. A task without starts left waits for up to 20 s while a loss is open, and the start on a worker that ran on is not counted. BUDGET holds as before: at most two starts follow the third loss, if the workers stay silent.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/crashes.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/crashes.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from .jobs import Crash, JobState, TaskState
@@ -32,7 +33,12 @@
 crash its workers only after a while."""
 
 MAX_CRASHES = 4
-"""Crashes after which a task is given up, whatever else may explain them."""
+"""Certain crashes after which a task is given up, although they have other likely
+causes."""
+
+MAX_OPEN_LOSS_S = 20.0
+"""Seconds until a worker that was lost and does not answer is taken for crashed, if
+its task has no other starts left."""
 
 MAX_MORE_STARTS = 2
 """Starts that a task is allowed after ``SLOW_SUSPECT_CRASHES`` crashes."""
@@ -75,13 +81,25 @@
 def has_used_up_starts(task: Task) -> bool:
     """Whether a task may not start again after the workers that were lost under it.
 
-    Starts count that ended otherwise, as in a gang with another suspect.
+    Starts count that ended otherwise, as in a gang with another suspect, but not
+    those whose worker ran on.
     """
     if len(task.crashes) < SLOW_SUSPECT_CRASHES:
         return False
     return task.run - task.crashes[SLOW_SUSPECT_CRASHES - 1].run >= MAX_MORE_STARTS
 
 
+def discount_start(task: Task) -> None:
+    """Do not count the latest start of a task: it crashed no worker."""
+    task.crashes = [replace(crash, run=crash.run + 1) for crash in task.crashes]
+
+
+def has_open_loss(task: Task, now: float) -> bool:
+    """Whether a worker that was lost under a task may still turn out to run on."""
+    is_recent = now - task.lost_at < MAX_OPEN_LOSS_S
+    return is_recent and not all(crash.is_certain for crash in task.crashes)
+
+
 def give_up(state: PlannerState, task: Task, now: float) -> None:
     """Fail the job of a task that crashes the workers that start it."""
     job = task.step.occurrence.job
@@ -117,6 +135,7 @@
             affected = [task for task in lost if task.state is not TaskState.DONE]
         for task in affected:
             _record_crash(task, worker, answered_at, reason != LEASE_EXPIRED)
+            task.lost_at = now
             self._state.crashed_task_by_id[task.id] = task
         self._state.note(
             "worker_lost",
@@ -130,9 +149,7 @@
         )
         is_common = loss is not None and self._has_common_cause(loss)
         for task in affected:
-            if len(task.crashes) >= MAX_CRASHES or (
-                not is_common and _is_to_blame(task, affected)
-            ):
+            if _is_to_blame(task, affected, is_common):
                 give_up(self._state, task, now)
 
     def _has_common_cause(self, loss: WorkerLoss) -> bool:
@@ -174,22 +191,29 @@
             if len(crashes) == len(task.crashes):
                 continue
             task.crashes = crashes
+            discount_start(task)
             self._state.store_occurrence(task.step.occurrence)
             if not task.crashes:
                 del crashed[task.id]
         self._state.needs_pass = True
 
 
-def _is_to_blame(task: Task, affected: list[Task]) -> bool:
-    """Whether the latest crash under a task has no other likely cause.
+def _is_to_blame(task: Task, affected: list[Task], is_common: bool) -> bool:
+    """Whether a task is given up for the latest crash under it.
 
     :param affected: all tasks that were lost with the worker
+    :param is_common: whether other workers were lost at the same time
     """
-    if not task.is_isolated or not task.crashes[-1].is_fresh:
+    latest = task.crashes[-1]
+    if not latest.is_certain:
+        return False
+    certain = [crash for crash in task.crashes if crash.is_certain]
+    if len(certain) >= MAX_CRASHES:
+        return True
+    if is_common or not latest.is_fresh or not task.is_isolated:
         return False
-    fresh = sum(crash.is_fresh for crash in task.crashes)
-    certain = sum(crash.is_certain for crash in task.crashes)
-    return min(fresh, certain) >= MIN_BLAMED_CRASHES and all(
+    fresh = sum(crash.is_fresh for crash in certain)
+    return fresh >= MIN_BLAMED_CRASHES and all(
         len(other.crashes) < len(task.crashes)
         for other in affected
         if other.id.job != task.id.job
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
@@ -45,7 +45,7 @@
     """Loss of a worker that ran a task.
 
     :param incarnation: incarnation of the worker that was lost
-    :param run: number of the run
+    :param run: number of the run, and of later starts that crashed no worker
     :param is_fresh: whether the worker was lost before it had outlived the task's start
     :param is_certain: whether the worker has certainly crashed, and had started it
     """
@@ -83,6 +83,7 @@
     :param failed_on: workers on which it has failed
     :param crashes: workers that were lost while they ran it; stored, so that later
         planners know them
+    :param lost_at: time at which the latest of ``crashes`` was recorded or loaded
     """
 
     id: TaskId
@@ -107,6 +108,7 @@
     retry_at: float = 0.0
     failed_on: set[str] = field(default_factory=set)
     crashes: list[Crash] = field(default_factory=list)
+    lost_at: float = 0.0
 
     @property
     def failed_attempts(self) -> int:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
@@ -113,9 +113,10 @@
                 state.finish(job, JobState.FAILED, now)
             if job.is_over:
                 continue
-            state.crashed_task_by_id.update(
-                (task.id, task) for task in job.tasks() if task.crashes
-            )
+            for task in job.tasks():
+                if task.crashes:
+                    task.lost_at = now
+                    state.crashed_task_by_id[task.id] = task
             self._intake.open_job(job, now)
             for occurrence in job.occurrences.values():
                 state.open_steps(occurrence)
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/scheduler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/scheduler.py
@@ -7,7 +7,7 @@
 
 from ..model.resources import Resources
 from .advice_candidates import choose_candidates
-from .crashes import give_up, has_used_up_starts
+from .crashes import give_up, has_open_loss, has_used_up_starts
 from .isolation import IsolationPolicy
 from .jobs import TaskState
 from .order import HOPELESS_LEVELS
@@ -171,9 +171,15 @@
             return
         suspects = self._isolation.find_suspects(step)
         for task in suspects:
-            if task.is_waiting and has_used_up_starts(task):
+            if not task.is_waiting or not has_used_up_starts(task):
+                continue
+            if has_open_loss(task, now):
+                self.reason_by_step[step.id] = (
+                    "a worker that was lost under a task may not have crashed"
+                )
+            else:
                 give_up(self._state, task, now)
-                return
+            return
         if suspects and not step.spec.gang:
             # The other tasks of the step may crash their workers too.
             waiting = [task for task in suspects if task.is_waiting]
--- a/tests/planner/test_deadly_tasks.py
+++ b/tests/planner/test_deadly_tasks.py
@@ -7,7 +7,7 @@
 
 from jacinthloom_core.model.resources import Resources
 from jacinthloom_core.planner import effects, events
-from jacinthloom_core.planner.crashes import FORGET_CRASHES_S
+from jacinthloom_core.planner.crashes import FORGET_CRASHES_S, MAX_OPEN_LOSS_S
 from jacinthloom_core.planner.events import RunProgress, StartOutcome
 from jacinthloom_core.planner.specs import StepSpec
 
@@ -119,6 +119,12 @@
             self.list_worker(worker)
         self.wait(0.1)
 
+    def cut_off(self, worker: str) -> None:
+        """Cut a worker off until its leases have expired, also the longest ones."""
+        self.planner.handle(events.WorkerPollFailed(self.now, worker))
+        self.wait(11.0, worker)
+        self.run_by_worker.pop(worker, None)
+
     def wait(self, seconds: float, *silent: str) -> None:
         for _ in range(round(seconds / 0.1)):
             self.now += 0.1
@@ -195,6 +201,49 @@
         self.poll(worker)
         self.assertEqual(task.crashes, [])
 
+    # Guards against a job that is given up for a worker that was only cut off: the loss
+    # of contact with it came after the crashes of others.
+    def test_fourth_loss_is_no_crash_while_its_worker_may_run_on(self) -> None:
+        job = self.submit()
+        for _ in range(3):
+            self.wait(1.0)
+            self.crash(*self.find_workers())
+        for _ in range(3):
+            (worker,) = self.find_workers()
+            self.cut_off(worker)
+            self.assertEqual(self.planner.find_job_state(job), "running")
+            self.poll(worker)
+            self.wait(0.5)
+        self.assertEqual(self.planner.find_job_state(job), "running")
+        self.assertEqual(len(self.find_workers()), 1)
+
+    # Guards against a loss of contact that is blamed on an isolated task after crashes
+    # with another cause.
+    def test_isolated_task_is_not_blamed_for_a_loss_of_contact(self) -> None:
+        job = self.submit()
+        self.crash(*self.find_workers())
+        (worker,) = self.find_workers()
+        first = int(worker[1:]) // 4 * 4
+        self.crash(*(f"w{number}" for number in range(first, first + 4)))
+        (worker,) = self.find_workers()
+        self.cut_off(worker)
+        self.assertEqual(self.planner.find_job_state(job), "running")
+
+    # Guards against a task that starts without limit on workers that stay silent.
+    def test_task_is_given_up_if_the_lost_workers_stay_silent(self) -> None:
+        job = self.submit()
+        lost = []
+        for _ in range(5):
+            (worker,) = self.find_workers()
+            lost.append(worker)
+            self.planner.handle(events.WorkerPollFailed(self.now, worker))
+            self.wait(7.0, *lost)
+            self.run_by_worker.pop(worker)
+            self.assertEqual(self.planner.find_job_state(job), "running")
+        self.assertEqual(self.find_workers(), [])
+        self.wait(MAX_OPEN_LOSS_S, *lost)
+        self.assertEqual(self.planner.find_job_state(job), "failed")
+
     # Guards against tasks that start beside a suspect and are blamed with it.
     def test_nothing_else_starts_beside_a_suspect(self) -> None:
         self.submit()
