Count only starts that took effect against the starts that are left

What callers saw: a job that could be done is shown as failed after three losses, though none of its later orders had started anything. Cause: two starts are allowed after three losses, counted by the numbers of runs, which rise with each order: also if it was refused, not sent, dropped, or found not to have taken effect. Change: such orders are not counted. A start that may have taken effect is, as before.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/crashes.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/crashes.py
@@ -81,8 +81,8 @@
 def has_used_up_starts(task: Task) -> bool:
     """Whether a task may not start again after the workers that were lost under it.
 
-    Starts count that ended otherwise, as in a gang with another suspect, but not
-    those whose worker ran on.
+    Starts count that ended otherwise, as in a gang with another suspect, but for those
+    that did not take effect, or whose worker ran on.
     """
     if len(task.crashes) < SLOW_SUSPECT_CRASHES:
         return False
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/order_responses.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/order_responses.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from .crashes import discount_start
 from .events import StartOutcome
 from .jobs import TaskState
 from .run_end_handler import QUARANTINE_S
@@ -90,6 +91,7 @@
         if event.outcome is StartOutcome.BAD_TICKET:
             advice = self._state.advice_requests.find(task.step.id)
             advice.ticket_by_worker.pop(worker.id, None)
+        discount_start(task)
         self._state.requeue(task)
         self._state.abort_gang(task)
 
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/reconciler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/reconciler.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from .batches import StoredEnd
-from .crashes import LEASE_EXPIRED, REPLACED, RESTARTED, CrashHandler
+from .crashes import LEASE_EXPIRED, REPLACED, RESTARTED, CrashHandler, discount_start
 from .effects import PollWorker, StepDown, Stop
 from .events import WorkerPolled
 from .jobs import TaskState
@@ -269,6 +269,7 @@
             return
         if task.state is TaskState.STARTING:
             if event.sent_at > task.barred_at:
+                discount_start(task)
                 self._requeue_lost(task, "start did not take effect")
         elif event.sent_at > task.confirmed_at:
             self._requeue_lost(task, "no longer listed")
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/start_dispatcher.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/start_dispatcher.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from .crashes import discount_start
 from .effects import Start
 from .jobs import TaskState
 
@@ -38,6 +39,7 @@
                 self._state.note(
                     "start_dropped", task=list(task.id), run=run, reason=reason
                 )
+                discount_start(task)
                 self._state.requeue(task)
             else:
                 self._start(task, now)
--- a/tests/planner/test_deadly_tasks.py
+++ b/tests/planner/test_deadly_tasks.py
@@ -54,6 +54,7 @@
         self.store = Store()
         self.incarnation_by_worker: dict[str, int] = {}
         self.run_by_worker: dict[str, list[effects.Start]] = {}
+        self.refused_starts = 0
         self.elect_planner(1)
         for number in range(8):
             self.list_worker(f"w{number}")
@@ -102,9 +103,14 @@
         for start in find_starts(
             store_batches(self.planner, self.store, emitted, self.now)
         ):
-            self.run_by_worker.setdefault(start.worker, []).append(start)
+            outcome = StartOutcome.STARTED
+            if self.refused_starts:
+                self.refused_starts -= 1
+                outcome = StartOutcome.NO_CAPACITY
+            else:
+                self.run_by_worker.setdefault(start.worker, []).append(start)
             answer = events.StartAnswered(
-                self.now, start.worker, start.task, start.run, StartOutcome.STARTED
+                self.now, start.worker, start.task, start.run, outcome
             )
             self.apply(self.planner.handle(answer))
 
@@ -244,6 +250,21 @@
         self.wait(MAX_OPEN_LOSS_S, *lost)
         self.assertEqual(self.planner.find_job_state(job), "failed")
 
+    # Guards against orders that no worker received and that use up the starts left.
+    def test_start_that_was_not_received_does_not_count(self) -> None:
+        job = self.submit()
+        for _ in range(3):
+            self.wait(1.0)
+            self.crash(*self.find_workers())
+        self.refused_starts = 2
+        (worker,) = self.find_workers()
+        self.cut_off(worker)
+        self.poll(worker)
+        self.wait(0.5)
+        self.assertEqual(self.refused_starts, 0)
+        self.assertEqual(self.planner.find_job_state(job), "running")
+        self.assertEqual(len(self.find_workers()), 1)
+
     # Guards against tasks that start beside a suspect and are blamed with it.
     def test_nothing_else_starts_beside_a_suspect(self) -> None:
         self.submit()
