Do not add up outages of racks and zones that a long run has met

Cause: a crash that other workers shared was not blamed on the task by itself, but counted towards the limit of four, and towards the three after which two starts are left. Change: it does not count if a run of the task has outlived twice the seconds that this one had; a task that crashes its workers never does. Losses of a zone are compared as those of a rack are. Both facts are stored in a row that earlier builds ignore. Run: make check and the unit tests of crashed workers and record sizes.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/crashes.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/crashes.py
@@ -40,6 +40,10 @@
 """Seconds until a worker that was lost and does not answer is taken for crashed, if
 its task has no other starts left."""
 
+MIN_AGE_RATIO = 2.0
+"""Ratio of the ages of two runs from which the loss of a worker under the shorter one
+can't have the cause that the longer one has survived."""
+
 MAX_MORE_STARTS = 2
 """Starts that a task is allowed after ``SLOW_SUSPECT_CRASHES`` crashes."""
 
@@ -54,15 +58,31 @@
 """Simultaneous losses of workers from which a common cause is assumed."""
 
 
+def list_unexplained(task: Task) -> list[Crash]:
+    """Return the crashes that a task may have caused.
+
+    It did not if other workers were lost at the same time, and a run of the task has
+    survived the age at which it would have crashed this worker.
+    """
+    outlived_s = task.outlived_s
+    return [
+        crash
+        for crash in task.crashes
+        if not crash.is_common
+        or outlived_s < min(FORGET_CRASHES_S, MIN_AGE_RATIO * crash.max_age_s)
+    ]
+
+
 def is_suspect(task: Task) -> bool:
     """Whether a task may have crashed a worker."""
-    crashes = task.crashes
+    crashes = list_unexplained(task)
     return len(crashes) >= SLOW_SUSPECT_CRASHES or any(c.is_fresh for c in crashes)
 
 
 def compute_settle_s(task: Task) -> float:
     """Return for how many seconds a worker has to outlive the start of a task."""
-    return FORGET_CRASHES_S if len(task.crashes) >= MIN_BLAMED_CRASHES else SETTLE_S
+    is_slow_suspect = len(list_unexplained(task)) >= MIN_BLAMED_CRASHES
+    return FORGET_CRASHES_S if is_slow_suspect else SETTLE_S
 
 
 def has_settled(task: Task, answered_at: float, settle_s: float | None = None) -> bool:
@@ -84,9 +104,10 @@
     Starts count that ended otherwise, as in a gang with another suspect, but for those
     that did not take effect, or whose worker ran on.
     """
-    if len(task.crashes) < SLOW_SUSPECT_CRASHES:
+    crashes = list_unexplained(task)
+    if len(crashes) < SLOW_SUSPECT_CRASHES:
         return False
-    return task.run - task.crashes[SLOW_SUSPECT_CRASHES - 1].run >= MAX_MORE_STARTS
+    return task.run - crashes[SLOW_SUSPECT_CRASHES - 1].run >= MAX_MORE_STARTS
 
 
 def discount_start(task: Task) -> None:
@@ -97,7 +118,7 @@
 def has_open_loss(task: Task, now: float) -> bool:
     """Whether a worker that was lost under a task may still turn out to run on."""
     is_recent = now - task.lost_at < MAX_OPEN_LOSS_S
-    return is_recent and not all(crash.is_certain for crash in task.crashes)
+    return is_recent and not all(crash.is_certain for crash in list_unexplained(task))
 
 
 def give_up(state: PlannerState, task: Task, now: float) -> None:
@@ -128,13 +149,13 @@
         :param reason: ``LEASE_EXPIRED``, ``RESTARTED`` or ``REPLACED``
         """
         loss = worker.loss
-        answered_at = loss.answered_at if loss else float("-inf")
+        is_common = loss is not None and self._has_common_cause(loss)
         is_leaving = worker.entry is not None and not worker.entry.is_ready
         affected = []
         if not is_leaving:
             affected = [task for task in lost if task.state is not TaskState.DONE]
         for task in affected:
-            _record_crash(task, worker, answered_at, reason != LEASE_EXPIRED)
+            _record_crash(task, worker, reason != LEASE_EXPIRED, is_common)
             task.lost_at = now
             self._state.crashed_task_by_id[task.id] = task
         self._state.note(
@@ -146,14 +167,14 @@
             unsettled_runs=sum(task.crashes[-1].is_fresh for task in affected),
             silent_s=round(now - loss.noticed_at, 2) if loss else None,
             leaving=is_leaving,
+            common=is_common,
         )
-        is_common = loss is not None and self._has_common_cause(loss)
         for task in affected:
-            if _is_to_blame(task, affected, is_common):
+            if _is_to_blame(task, affected):
                 give_up(self._state, task, now)
 
     def _has_common_cause(self, loss: WorkerLoss) -> bool:
-        """Whether other workers, or most of the rack, were lost at the same time."""
+        """Whether other workers, most of the rack or all of the zone were lost too."""
         losses = self._state.recent_losses
         simultaneous = [
             other
@@ -162,13 +183,19 @@
         ]
         if len(simultaneous) >= MIN_SIMULTANEOUS_LOSSES:
             return True
-        if not loss.rack:
-            return False
-        workers = self._state.worker_by_id.values()
-        in_rack = [w for w in workers if w.entry and w.entry.rack == loss.rack]
-        present = sum(w.is_listed or w.loss is not None for w in in_rack)
-        lost = sum(other.rack == loss.rack and other.overlaps(loss) for other in losses)
-        return lost > 1 and 2 * lost >= present
+        overlapping = [other for other in losses if other.overlaps(loss)]
+        entries = [
+            worker.entry
+            for worker in self._state.worker_by_id.values()
+            if worker.entry and (worker.is_listed or worker.loss is not None)
+        ]
+        lost_in_rack = sum(other.rack == loss.rack for other in overlapping)
+        in_rack = sum(entry.rack == loss.rack for entry in entries)
+        if loss.rack and lost_in_rack > 1 and 2 * lost_in_rack >= in_rack:
+            return True
+        lost_in_zone = sum(other.zone == loss.zone for other in overlapping)
+        in_zone = sum(entry.zone == loss.zone for entry in entries)
+        return bool(loss.zone) and lost_in_zone > 1 and lost_in_zone >= in_zone
 
     def forget_losses(self, worker: Worker) -> None:
         """Forget the losses of a worker in the life in which it answers.
@@ -198,19 +225,18 @@
         self._state.needs_pass = True
 
 
-def _is_to_blame(task: Task, affected: list[Task], is_common: bool) -> bool:
+def _is_to_blame(task: Task, affected: list[Task]) -> bool:
     """Whether a task is given up for the latest crash under it.
 
     :param affected: all tasks that were lost with the worker
-    :param is_common: whether other workers were lost at the same time
     """
     latest = task.crashes[-1]
     if not latest.is_certain:
         return False
-    certain = [crash for crash in task.crashes if crash.is_certain]
+    certain = [crash for crash in list_unexplained(task) if crash.is_certain]
     if len(certain) >= MAX_CRASHES:
         return True
-    if is_common or not latest.is_fresh or not task.is_isolated:
+    if latest.is_common or not latest.is_fresh or not task.is_isolated:
         return False
     fresh = sum(crash.is_fresh for crash in certain)
     return fresh >= MIN_BLAMED_CRASHES and all(
@@ -221,13 +247,26 @@
 
 
 def _record_crash(
-    task: Task, worker: Worker, answered_at: float, is_certain: bool
+    task: Task, worker: Worker, is_certain: bool, is_common: bool
 ) -> None:
-    if task.confirmed_at and answered_at - task.confirmed_at >= FORGET_CRASHES_S:
-        task.crashes = []
-    is_fresh = not has_settled(task, answered_at)
+    loss = worker.loss
+    answered_at = loss.answered_at if loss else float("-inf")
     has_run = bool(task.confirmed_at)  # an unanswered start may not have taken effect
+    if has_run:
+        task.outlived_s = max(task.outlived_s, answered_at - task.confirmed_at)
+        if answered_at - task.confirmed_at >= FORGET_CRASHES_S:
+            task.crashes = []
+    is_fresh = not has_settled(task, answered_at)
+    max_age_s = float("inf")
+    if loss is not None and task.placed_at:
+        max_age_s = loss.noticed_at - task.placed_at
     crash = Crash(
-        worker.id, task.incarnation, task.run, is_fresh, is_certain and has_run
+        worker.id,
+        task.incarnation,
+        task.run,
+        is_fresh,
+        is_certain and has_run,
+        is_common,
+        max_age_s,
     )
     task.crashes.append(crash)
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/fleet.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/fleet.py
@@ -59,6 +59,7 @@
     worker: str
     incarnation: int
     rack: str
+    zone: str
     answered_at: float
     noticed_at: float
 
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
@@ -48,6 +48,8 @@
     :param run: number of the run, and of later starts that crashed no worker
     :param is_fresh: whether the worker was lost before it had outlived the task's start
     :param is_certain: whether the worker has certainly crashed, and had started it
+    :param is_common: whether other workers were lost at the same time
+    :param max_age_s: maximum seconds from the start of the run to the loss
     """
 
     worker: str
@@ -55,6 +57,8 @@
     run: int
     is_fresh: bool
     is_certain: bool
+    is_common: bool = False
+    max_age_s: float = float("inf")
 
 
 @dataclass(slots=True)
@@ -83,6 +87,8 @@
     :param failed_on: workers on which it has failed
     :param crashes: workers that were lost while they ran it; stored, so that later
         planners know them
+    :param outlived_s: maximum seconds of a run that its worker was lost under, and had
+        outlived; stored like ``crashes``
     :param lost_at: time at which the latest of ``crashes`` was recorded or loaded
     """
 
@@ -108,6 +114,7 @@
     retry_at: float = 0.0
     failed_on: set[str] = field(default_factory=set)
     crashes: list[Crash] = field(default_factory=list)
+    outlived_s: float = 0.0
     lost_at: float = 0.0
 
     @property
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/records.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/records.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import astuple, dataclass
+from dataclasses import astuple, dataclass, replace
 from typing import Any
 
 import msgpack
@@ -19,6 +19,10 @@
 """Maximum size of a value, below the limit of the store. The record of an occurrence
 with the most tasks keeps to it without checkpoints and crashes."""
 
+CRASH_FIELDS = 5
+"""Fields of a crash in the rows that all builds decode; the others have rows of their
+own."""
+
 QUEUE_PREFIX = "queue:"
 """Prefix of the keys of queue records."""
 
@@ -138,6 +142,7 @@
 ) -> bytes:
     steps: list[Any] = []
     crashes: list[Any] = []
+    causes: list[Any] = []
     for step in occurrence.steps:
         if step.is_done:
             steps.append(True)
@@ -156,19 +161,18 @@
             if task.run or task.failures
         ]
         steps.append([step.run, step.failures, step.failed_run, rows])
-        crashes += [
-            [
-                step.id.step,
-                task.id.position,
-                [astuple(crash) for crash in task.crashes],
-            ]
-            for task in step.tasks
-            if task.crashes
-        ]
-    fields = [FORMAT, False, steps]
+        for task in step.tasks:
+            if task.crashes:
+                fields = [astuple(crash) for crash in task.crashes]
+                key = [step.id.step, task.id.position]
+                crashes.append([*key, [row[:CRASH_FIELDS] for row in fields]])
+                causes.append(
+                    [*key, task.outlived_s, [row[CRASH_FIELDS:] for row in fields]]
+                )
+    value = [FORMAT, False, steps]
     if crashes and has_crashes:
-        fields.append(crashes)  # builds without this field ignore it
-    return bytes(msgpack.packb(fields))
+        value += [crashes, causes]  # builds without these fields ignore them
+    return bytes(msgpack.packb(value))
 
 
 def encode_removal(key: str) -> Record:
@@ -281,3 +285,10 @@
         task = occurrence.steps[number].tasks[position]
         task.crashes = [Crash(*crash) for crash in crashes]
         job.has_started |= any(crash.is_certain for crash in task.crashes)
+    for number, position, outlived_s, causes in fields[4] if len(fields) > 4 else ():
+        task = occurrence.steps[number].tasks[position]
+        task.outlived_s = outlived_s
+        task.crashes = [
+            replace(crash, is_common=is_common, max_age_s=max_age_s)
+            for crash, (is_common, max_age_s) in zip(task.crashes, causes, strict=True)
+        ]
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/state.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/state.py
@@ -131,8 +131,14 @@
         """Record that contact with a worker was lost, unless that is known."""
         if worker.loss is not None:
             return
-        rack = worker.entry.rack if worker.entry else ""
-        loss = WorkerLoss(worker.id, worker.incarnation, rack, worker.answered_at, now)
+        loss = WorkerLoss(
+            worker.id,
+            worker.incarnation,
+            worker.entry.rack if worker.entry else "",
+            worker.entry.zone if worker.entry else "",
+            worker.answered_at,
+            now,
+        )
         worker.loss = loss
         self.recent_losses = [
             other
--- a/tests/planner/test_deadly_tasks.py
+++ b/tests/planner/test_deadly_tasks.py
@@ -250,6 +250,16 @@
         self.wait(MAX_OPEN_LOSS_S, *lost)
         self.assertEqual(self.planner.find_job_state(job), "failed")
 
+    # Guards against a job that is given up for outages of a rack that its long run met.
+    def test_losses_of_racks_under_a_long_run_do_not_add_up(self) -> None:
+        job = self.submit()
+        for seconds in (9.0, 2.0, 2.0, 2.0, 2.0, 2.0):
+            self.wait(seconds)
+            (worker,) = self.find_workers()
+            first = int(worker[1:]) // 4 * 4
+            self.crash(*(f"w{number}" for number in range(first, first + 4)))
+            self.assertEqual(self.planner.find_job_state(job), "running")
+
     # Guards against orders that no worker received and that use up the starts left.
     def test_start_that_was_not_received_does_not_count(self) -> None:
         job = self.submit()
--- a/tests/planner/test_record_sizes.py
+++ b/tests/planner/test_record_sizes.py
@@ -5,6 +5,7 @@
 import unittest
 from dataclasses import replace
 
+import msgpack
 from jacinthloom_core.model.resources import Resources
 from jacinthloom_core.planner import effects, events
 from jacinthloom_core.planner.jobs import Crash, Job, TaskState
@@ -62,6 +63,24 @@
         self.assertEqual(loaded.checkpoint, first.checkpoint)
         self.assertEqual(loaded.crashes, first.crashes)
 
+    # Guards against a record that a planner of an earlier build can't read: it decodes
+    # five fields of a crash, and would drop the tasks of the job.
+    def test_causes_of_crashes_are_stored_beside_what_earlier_builds_read(self) -> None:
+        job = self.make_job("", 0)
+        first = next(job.tasks())
+        first.crashes = [Crash("w", 1, 1, True, True, True, 1.5)]
+        first.outlived_s = 9.0
+        record = encode_occurrence(job.occurrences[0])
+        records = {record.key: record.value, WIDE.id: encode_job(job).value}
+        loaded = next(load_jobs(records, 0.0)[0][WIDE.id].tasks())
+        self.assertEqual(loaded.crashes, first.crashes)
+        self.assertEqual(loaded.outlived_s, 9.0)
+        fields = msgpack.unpackb(record.value)
+        self.assertEqual(fields[3], [[0, 0, [["w", 1, 1, True, True]]]])
+        records[record.key] = msgpack.packb(fields[:4])
+        loaded = next(load_jobs(records, 0.0)[0][WIDE.id].tasks())
+        self.assertEqual(loaded.crashes, [Crash("w", 1, 1, True, True)])
+
     def test_wider_job_is_refused(self) -> None:
         step = replace(WIDE.steps[0], count=MAX_TASKS + 1)
         with self.assertRaises(JobSpecError):
