--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/crashes.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/crashes.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from .jobs import Crash, JobState, TaskState
@@ -32,7 +33,16 @@
 crash its workers only after a while."""
 
 MAX_CRASHES = 4
-"""Crashes after which a task is given up, whatever else may explain them."""
+"""Certain crashes after which a task is given up, although they have other likely
+causes."""
+
+MAX_OPEN_LOSS_S = 20.0
+"""Seconds until a worker that was lost and does not answer is taken for crashed, if
+its task has no other starts left."""
+
+MIN_AGE_RATIO = 2.0
+"""Ratio of the ages of two runs from which the loss of a worker under the shorter one
+can't have the cause that the longer one has survived."""
 
 MAX_MORE_STARTS = 2
 """Starts that a task is allowed after ``SLOW_SUSPECT_CRASHES`` crashes."""
@@ -48,15 +58,31 @@
 """Simultaneous losses of workers from which a common cause is assumed."""
 
 
+def list_unexplained(task: Task) -> list[Crash]:
+    """Return the crashes that a task may have caused.
+
+    It did not if other workers were lost at the same time, and a run of the task has
+    survived the age at which it would have crashed this worker.
+    """
+    outlived_s = task.outlived_s
+    return [
+        crash
+        for crash in task.crashes
+        if not crash.is_common
+        or outlived_s < min(FORGET_CRASHES_S, MIN_AGE_RATIO * crash.max_age_s)
+    ]
+
+
 def is_suspect(task: Task) -> bool:
     """Whether a task may have crashed a worker."""
-    crashes = task.crashes
+    crashes = list_unexplained(task)
     return len(crashes) >= SLOW_SUSPECT_CRASHES or any(c.is_fresh for c in crashes)
 
 
 def compute_settle_s(task: Task) -> float:
     """Return for how many seconds a worker has to outlive the start of a task."""
-    return FORGET_CRASHES_S if len(task.crashes) >= MIN_BLAMED_CRASHES else SETTLE_S
+    is_slow_suspect = len(list_unexplained(task)) >= MIN_BLAMED_CRASHES
+    return FORGET_CRASHES_S if is_slow_suspect else SETTLE_S
 
 
 def has_settled(task: Task, answered_at: float, settle_s: float | None = None) -> bool:
@@ -75,11 +101,24 @@
 def has_used_up_starts(task: Task) -> bool:
     """Whether a task may not start again after the workers that were lost under it.
 
-    Starts count that ended otherwise, as in a gang with another suspect.
+    Starts count that ended otherwise, as in a gang with another suspect, but for those
+    that did not take effect, or whose worker ran on.
     """
-    if len(task.crashes) < SLOW_SUSPECT_CRASHES:
+    crashes = list_unexplained(task)
+    if len(crashes) < SLOW_SUSPECT_CRASHES:
         return False
-    return task.run - task.crashes[SLOW_SUSPECT_CRASHES - 1].run >= MAX_MORE_STARTS
+    return task.run - crashes[SLOW_SUSPECT_CRASHES - 1].run >= MAX_MORE_STARTS
+
+
+def discount_start(task: Task) -> None:
+    """Do not count the latest start of a task: it crashed no worker."""
+    task.crashes = [replace(crash, run=crash.run + 1) for crash in task.crashes]
+
+
+def has_open_loss(task: Task, now: float) -> bool:
+    """Whether a worker that was lost under a task may still turn out to run on."""
+    is_recent = now - task.lost_at < MAX_OPEN_LOSS_S
+    return is_recent and not all(crash.is_certain for crash in list_unexplained(task))
 
 
 def give_up(state: PlannerState, task: Task, now: float) -> None:
@@ -110,13 +149,14 @@
         :param reason: ``LEASE_EXPIRED``, ``RESTARTED`` or ``REPLACED``
         """
         loss = worker.loss
-        answered_at = loss.answered_at if loss else float("-inf")
+        is_common = loss is not None and self._has_common_cause(loss)
         is_leaving = worker.entry is not None and not worker.entry.is_ready
         affected = []
         if not is_leaving:
             affected = [task for task in lost if task.state is not TaskState.DONE]
         for task in affected:
-            _record_crash(task, worker, answered_at, reason != LEASE_EXPIRED)
+            _record_crash(task, worker, reason != LEASE_EXPIRED, is_common)
+            task.lost_at = now
             self._state.crashed_task_by_id[task.id] = task
         self._state.note(
             "worker_lost",
@@ -127,16 +167,14 @@
             unsettled_runs=sum(task.crashes[-1].is_fresh for task in affected),
             silent_s=round(now - loss.noticed_at, 2) if loss else None,
             leaving=is_leaving,
+            common=is_common,
         )
-        is_common = loss is not None and self._has_common_cause(loss)
         for task in affected:
-            if len(task.crashes) >= MAX_CRASHES or (
-                not is_common and _is_to_blame(task, affected)
-            ):
+            if _is_to_blame(task, affected):
                 give_up(self._state, task, now)
 
     def _has_common_cause(self, loss: WorkerLoss) -> bool:
-        """Whether other workers, or most of the rack, were lost at the same time."""
+        """Whether other workers, most of the rack or all of the zone were lost too."""
         losses = self._state.recent_losses
         simultaneous = [
             other
@@ -145,16 +183,25 @@
         ]
         if len(simultaneous) >= MIN_SIMULTANEOUS_LOSSES:
             return True
-        if not loss.rack:
-            return False
-        workers = self._state.worker_by_id.values()
-        in_rack = [w for w in workers if w.entry and w.entry.rack == loss.rack]
-        present = sum(w.is_listed or w.loss is not None for w in in_rack)
-        lost = sum(other.rack == loss.rack and other.overlaps(loss) for other in losses)
-        return lost > 1 and 2 * lost >= present
-
-    def on_worker_returned(self, worker: Worker) -> None:
-        """Forget the loss of a worker that answers again: it did not crash."""
+        overlapping = [other for other in losses if other.overlaps(loss)]
+        entries = [
+            worker.entry
+            for worker in self._state.worker_by_id.values()
+            if worker.entry and (worker.is_listed or worker.loss is not None)
+        ]
+        lost_in_rack = sum(other.rack == loss.rack for other in overlapping)
+        in_rack = sum(entry.rack == loss.rack for entry in entries)
+        if loss.rack and lost_in_rack > 1 and 2 * lost_in_rack >= in_rack:
+            return True
+        lost_in_zone = sum(other.zone == loss.zone for other in overlapping)
+        in_zone = sum(entry.zone == loss.zone for entry in entries)
+        return bool(loss.zone) and lost_in_zone > 1 and lost_in_zone >= in_zone
+
+    def forget_losses(self, worker: Worker) -> None:
+        """Forget the losses of a worker in the life in which it answers.
+
+        It did not crash. An earlier planner may have recorded them.
+        """
         returned = (worker.id, worker.incarnation)
         self._state.recent_losses = [
             loss
@@ -163,25 +210,36 @@
         ]
         crashed = self._state.crashed_task_by_id
         for task in list(crashed.values()):
-            task.crashes = [
+            crashes = [
                 crash
                 for crash in task.crashes
                 if (crash.worker, crash.incarnation) != returned
             ]
+            if len(crashes) == len(task.crashes):
+                continue
+            task.crashes = crashes
+            discount_start(task)
+            self._state.store_occurrence(task.step.occurrence)
             if not task.crashes:
                 del crashed[task.id]
+        self._state.needs_pass = True
 
 
 def _is_to_blame(task: Task, affected: list[Task]) -> bool:
-    """Whether the latest crash under a task has no other likely cause.
+    """Whether a task is given up for the latest crash under it.
 
     :param affected: all tasks that were lost with the worker
     """
-    if not task.is_isolated or not task.crashes[-1].is_fresh:
+    latest = task.crashes[-1]
+    if not latest.is_certain:
+        return False
+    certain = [crash for crash in list_unexplained(task) if crash.is_certain]
+    if len(certain) >= MAX_CRASHES:
+        return True
+    if latest.is_common or not latest.is_fresh or not task.is_isolated:
         return False
-    fresh = sum(crash.is_fresh for crash in task.crashes)
-    certain = sum(crash.is_certain for crash in task.crashes)
-    return min(fresh, certain) >= MIN_BLAMED_CRASHES and all(
+    fresh = sum(crash.is_fresh for crash in certain)
+    return fresh >= MIN_BLAMED_CRASHES and all(
         len(other.crashes) < len(task.crashes)
         for other in affected
         if other.id.job != task.id.job
@@ -189,13 +247,26 @@
 
 
 def _record_crash(
-    task: Task, worker: Worker, answered_at: float, is_certain: bool
+    task: Task, worker: Worker, is_certain: bool, is_common: bool
 ) -> None:
-    if task.confirmed_at and answered_at - task.confirmed_at >= FORGET_CRASHES_S:
-        task.crashes = []
-    is_fresh = not has_settled(task, answered_at)
+    loss = worker.loss
+    answered_at = loss.answered_at if loss else float("-inf")
     has_run = bool(task.confirmed_at)  # an unanswered start may not have taken effect
+    if has_run:
+        task.outlived_s = max(task.outlived_s, answered_at - task.confirmed_at)
+        if answered_at - task.confirmed_at >= FORGET_CRASHES_S:
+            task.crashes = []
+    is_fresh = not has_settled(task, answered_at)
+    max_age_s = float("inf")
+    if loss is not None and task.placed_at:
+        max_age_s = loss.noticed_at - task.placed_at
     crash = Crash(
-        worker.id, task.incarnation, task.run, is_fresh, is_certain and has_run
+        worker.id,
+        task.incarnation,
+        task.run,
+        is_fresh,
+        is_certain and has_run,
+        is_common,
+        max_age_s,
     )
     task.crashes.append(crash)
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/reconciler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/reconciler.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from .batches import StoredEnd
-from .crashes import LEASE_EXPIRED, REPLACED, RESTARTED, CrashHandler
+from .crashes import LEASE_EXPIRED, REPLACED, RESTARTED, CrashHandler, discount_start
 from .effects import PollWorker, StepDown, Stop
 from .events import WorkerPolled
 from .jobs import TaskState
@@ -152,6 +152,7 @@
             else:
                 self._state.lose_contact(worker, event.now)
             worker.incarnation = event.incarnation
+            self._crash_handler.forget_losses(worker)
             worker.cursor = 0
             worker.confirmed_cursor = 0
             worker.seen_end = 0
@@ -183,7 +184,7 @@
 
     def _on_same_incarnation(self, worker: Worker) -> None:
         if worker.loss is not None and worker.loss.incarnation == worker.incarnation:
-            self._crash_handler.on_worker_returned(worker)
+            self._crash_handler.forget_losses(worker)
             worker.loss = None
 
     def _reduce_ends(self, worker: Worker, event: WorkerPolled) -> None:
@@ -268,6 +269,7 @@
             return
         if task.state is TaskState.STARTING:
             if event.sent_at > task.barred_at:
+                discount_start(task)
                 self._requeue_lost(task, "start did not take effect")
         elif event.sent_at > task.confirmed_at:
             self._requeue_lost(task, "no longer listed")
--- a/tests/planner/test_deadly_tasks.py
+++ b/tests/planner/test_deadly_tasks.py
@@ -7,7 +7,7 @@
 
 from jacinthloom_core.model.resources import Resources
 from jacinthloom_core.planner import effects, events
-from jacinthloom_core.planner.crashes import FORGET_CRASHES_S
+from jacinthloom_core.planner.crashes import FORGET_CRASHES_S, MAX_OPEN_LOSS_S
 from jacinthloom_core.planner.events import RunProgress, StartOutcome
 from jacinthloom_core.planner.specs import StepSpec
 
@@ -54,17 +54,18 @@
         self.store = Store()
         self.incarnation_by_worker: dict[str, int] = {}
         self.run_by_worker: dict[str, list[effects.Start]] = {}
+        self.refused_starts = 0
         self.elect_planner(1)
         for number in range(8):
             self.list_worker(f"w{number}")
 
-    def elect_planner(self, term: int) -> None:
+    def elect_planner(self, term: int, *silent: str) -> None:
         self.planner = make_planner(term, self.store, self.now)
         self.planner.handle(events.WorkerUnlisted(self.now, "w1"))
         for worker in self.incarnation_by_worker:
-            self.list_worker(worker)
+            self.list_worker(worker, worker in silent)
 
-    def list_worker(self, worker: str) -> None:
+    def list_worker(self, worker: str, is_silent: bool = False) -> None:
         incarnation = self.incarnation_by_worker.setdefault(worker, 5)
         entry = replace(
             ENTRY,
@@ -74,7 +75,10 @@
             incarnation=incarnation,
         )
         self.apply(self.planner.handle(events.WorkerListed(self.now, entry)))
-        self.poll(worker)
+        if is_silent:
+            self.planner.handle(events.WorkerPollFailed(self.now, worker))
+        else:
+            self.poll(worker)
 
     def poll(self, worker: str) -> None:
         """Answer polls of a worker until it has seen the newest token."""
@@ -99,9 +103,14 @@
         for start in find_starts(
             store_batches(self.planner, self.store, emitted, self.now)
         ):
-            self.run_by_worker.setdefault(start.worker, []).append(start)
+            outcome = StartOutcome.STARTED
+            if self.refused_starts:
+                self.refused_starts -= 1
+                outcome = StartOutcome.NO_CAPACITY
+            else:
+                self.run_by_worker.setdefault(start.worker, []).append(start)
             answer = events.StartAnswered(
-                self.now, start.worker, start.task, start.run, StartOutcome.STARTED
+                self.now, start.worker, start.task, start.run, outcome
             )
             self.apply(self.planner.handle(answer))
 
@@ -116,6 +125,12 @@
             self.list_worker(worker)
         self.wait(0.1)
 
+    def cut_off(self, worker: str) -> None:
+        """Cut a worker off until its leases have expired, also the longest ones."""
+        self.planner.handle(events.WorkerPollFailed(self.now, worker))
+        self.wait(11.0, worker)
+        self.run_by_worker.pop(worker, None)
+
     def wait(self, seconds: float, *silent: str) -> None:
         for _ in range(round(seconds / 0.1)):
             self.now += 0.1
@@ -179,6 +194,87 @@
         self.poll(worker)
         self.assertEqual(task.crashes, [])
 
+    # Guards against a successor that takes a worker for crashed which answers it in the
+    # life in which its predecessor knew it.
+    def test_worker_that_answers_the_next_planner_has_not_crashed(self) -> None:
+        job = self.submit()
+        (worker,) = self.find_workers()
+        self.elect_planner(2, worker)
+        self.wait(9.0, worker)
+        (task,) = self.planner.state.job_by_id[job].tasks()
+        self.assertEqual([crash.worker for crash in task.crashes], [worker])
+        self.run_by_worker.pop(worker)
+        self.poll(worker)
+        self.assertEqual(task.crashes, [])
+
+    # Guards against a job that is given up for a worker that was only cut off: the loss
+    # of contact with it came after the crashes of others.
+    def test_fourth_loss_is_no_crash_while_its_worker_may_run_on(self) -> None:
+        job = self.submit()
+        for _ in range(3):
+            self.wait(1.0)
+            self.crash(*self.find_workers())
+        for _ in range(3):
+            (worker,) = self.find_workers()
+            self.cut_off(worker)
+            self.assertEqual(self.planner.find_job_state(job), "running")
+            self.poll(worker)
+            self.wait(0.5)
+        self.assertEqual(self.planner.find_job_state(job), "running")
+        self.assertEqual(len(self.find_workers()), 1)
+
+    # Guards against a loss of contact that is blamed on an isolated task after crashes
+    # with another cause.
+    def test_isolated_task_is_not_blamed_for_a_loss_of_contact(self) -> None:
+        job = self.submit()
+        self.crash(*self.find_workers())
+        (worker,) = self.find_workers()
+        first = int(worker[1:]) // 4 * 4
+        self.crash(*(f"w{number}" for number in range(first, first + 4)))
+        (worker,) = self.find_workers()
+        self.cut_off(worker)
+        self.assertEqual(self.planner.find_job_state(job), "running")
+
+    # Guards against a task that starts without limit on workers that stay silent.
+    def test_task_is_given_up_if_the_lost_workers_stay_silent(self) -> None:
+        job = self.submit()
+        lost = []
+        for _ in range(5):
+            (worker,) = self.find_workers()
+            lost.append(worker)
+            self.planner.handle(events.WorkerPollFailed(self.now, worker))
+            self.wait(7.0, *lost)
+            self.run_by_worker.pop(worker)
+            self.assertEqual(self.planner.find_job_state(job), "running")
+        self.assertEqual(self.find_workers(), [])
+        self.wait(MAX_OPEN_LOSS_S, *lost)
+        self.assertEqual(self.planner.find_job_state(job), "failed")
+
+    # Guards against a job that is given up for outages of a rack that its long run met.
+    def test_losses_of_racks_under_a_long_run_do_not_add_up(self) -> None:
+        job = self.submit()
+        for seconds in (9.0, 2.0, 2.0, 2.0, 2.0, 2.0):
+            self.wait(seconds)
+            (worker,) = self.find_workers()
+            first = int(worker[1:]) // 4 * 4
+            self.crash(*(f"w{number}" for number in range(first, first + 4)))
+            self.assertEqual(self.planner.find_job_state(job), "running")
+
+    # Guards against orders that no worker received and that use up the starts left.
+    def test_start_that_was_not_received_does_not_count(self) -> None:
+        job = self.submit()
+        for _ in range(3):
+            self.wait(1.0)
+            self.crash(*self.find_workers())
+        self.refused_starts = 2
+        (worker,) = self.find_workers()
+        self.cut_off(worker)
+        self.poll(worker)
+        self.wait(0.5)
+        self.assertEqual(self.refused_starts, 0)
+        self.assertEqual(self.planner.find_job_state(job), "running")
+        self.assertEqual(len(self.find_workers()), 1)
+
     # Guards against tasks that start beside a suspect and are blamed with it.
     def test_nothing_else_starts_beside_a_suspect(self) -> None:
         self.submit()
