Tell the answer of a worker's next life to a start by its clock

What callers saw: nothing so far. A path that keeps a client's connection when the process behind it ends, and joins the next one, voids the identification of the connection: the next life carries out a start for the former one and cuts the deadline to its longest lease, and the planner counts its own lease and confirms the run of another life. Cause: an identity is that of a connection, and the response to a start was not checked. No wait is longer unless a clock has gone back. Open: a cursor on such a path acknowledges ends of the next life unseen; a successor knows nothing of the longer lease; a next life whose clock has passed the former one's is not told.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/effects.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/effects.py
@@ -46,6 +46,8 @@
     :param checkpoint: checkpoint to resume from, or empty
     :param ticket: permission of the advice service, or empty
     :param deadline_ms: end of the lease on the worker's clock, in milliseconds
+    :param least_clock_ms: least that the intended incarnation's clock can show in a
+        response, in milliseconds; 0 if it is not known
     """
 
     worker: str
@@ -58,6 +60,7 @@
     checkpoint: str
     ticket: str
     deadline_ms: int
+    least_clock_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/events.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/events.py
@@ -39,6 +39,9 @@
     BAD_TICKET = "bad_ticket"
     UNHEALTHY = "unhealthy"
     OTHER_INCARNATION = "other_life"
+    ANSWERED_BY_OTHER = "answered_by_other_life"
+    """Another incarnation than the intended one responded: it may have carried out the
+    start, and grants its longest lease by a deadline on another clock."""
     INVALID = "invalid"
     UNKNOWN = "unknown"
     """No response: the start may have taken effect, or may still do so."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/fleet.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/fleet.py
@@ -234,6 +234,11 @@
         """Return the time ``lease_s`` seconds from now on the worker's clock."""
         return int(self.clock_ms + (now - self.clock_at + lease_s) * 1000)
 
+    def compute_least_clock_ms(self, now: float) -> int:
+        """Return the least that the worker's clock can show from now on."""
+        passed_ms = (now - self.clock_at) * (1 - CLOCK_RATE_ERROR) * 1000
+        return int(self.clock_ms + max(0.0, passed_ms))
+
     @property
     def is_out_of_contact(self) -> bool:
         """Whether the worker's leases are not being renewed."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/order_responses.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/order_responses.py
@@ -20,6 +20,9 @@
 UNRECEIVED_OUTCOMES = frozenset({StartOutcome.NOT_SENT, StartOutcome.OTHER_INCARNATION})
 """Outcomes of starts that the intended incarnation of a worker did not receive."""
 
+UNSETTLED_OUTCOMES = frozenset({StartOutcome.UNKNOWN, StartOutcome.ANSWERED_BY_OTHER})
+"""Outcomes after which a run may be there; the next list shows it."""
+
 
 class OrderResponseHandler:
     """Confirms, repeats or places again what was ordered."""
@@ -30,6 +33,8 @@
     def on_start_answered(self, event: StartAnswered) -> None:
         """Confirm a start, repeat it, or place the task again."""
         worker = self._state.mark_changed(event.worker)
+        if event.outcome is StartOutcome.ANSWERED_BY_OTHER:
+            self._on_answered_by_other(worker, event.now)
         task = worker.task_by_id.get(event.task)
         if task is None or task.run != event.run:
             return
@@ -62,11 +67,24 @@
         if outcome is StartOutcome.STALE_RUN:
             task.barred_at = event.now
             worker.poll_due = min(worker.poll_due, event.now)
-        elif outcome is StartOutcome.UNKNOWN or task.has_unknown_outcome:
+        elif outcome in UNSETTLED_OUTCOMES or task.has_unknown_outcome:
             self._retry_or_stop(task, worker, event)
         else:
             self._requeue_refused(task, worker, event)
 
+    def _on_answered_by_other(self, worker: Worker, now: float) -> None:
+        """Take the contact as lost, and assume the longest lease.
+
+        The path to the worker has joined a connection to its next incarnation, which
+        may have cut a deadline by the clock of the former one to its longest lease.
+        """
+        worker.extend_lease(now, self._state.settings.longest_lease_s)
+        self._state.lose_contact(worker, now)
+        if not worker.failed_polls:
+            self._state.note("worker_silent", worker=worker.id, life=worker.incarnation)
+        worker.failed_polls += 1
+        worker.poll_due = min(worker.poll_due, now)
+
     def _on_withheld(self, task: Task, now: float) -> None:
         """Send the start again soon: the planner's renewal may just be slow."""
         self._state.counters["start_withheld"] += 1
@@ -79,7 +97,7 @@
         task.has_unknown_outcome = True
         self._state.unknown_start_by_id[task.id] = task
         task.retry_at = event.now + START_RETRY_S
-        if event.outcome is not StartOutcome.UNKNOWN or task.is_stopping:
+        if event.outcome not in UNSETTLED_OUTCOMES or task.is_stopping:
             self._state.stop(task)
 
     def _requeue_refused(
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/start_dispatcher.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/start_dispatcher.py
@@ -137,5 +137,6 @@
                 task.checkpoint,
                 ticket,
                 worker.compute_deadline_ms(now, lease_s),
+                worker.compute_least_clock_ms(now),
             )
         )
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/worker_client.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/worker_client.py
@@ -153,6 +153,8 @@
                 if error.is_outcome_unknown
                 else StartOutcome.NOT_SENT
             )
+        if _is_from_other(response, start.least_clock_ms):
+            return StartOutcome.ANSWERED_BY_OTHER
         if response.status == 409:
             return _decode_refusal(response)
         return OUTCOME_BY_STATUS.get(response.status, StartOutcome.UNKNOWN)
@@ -233,6 +235,21 @@
         ) from error
 
 
+def _is_from_other(response: Response, least_clock_ms: int) -> bool:
+    """Whether a later incarnation than the intended one has responded to an order.
+
+    A path may have joined the connection to the next process. Clocks begin anew with
+    each incarnation. Status 421 is that of another worker, which does nothing.
+    """
+    if response.status == 421:
+        return False
+    try:
+        clock_ms = decode_order_response(response.body).clockMs
+    except InvalidDataError:
+        return False
+    return 0 < clock_ms < least_clock_ms
+
+
 def _decode_refusal(response: Response) -> StartOutcome:
     try:
         reason = decode_order_response(response.body).reason
--- a/tests/platform_adapter/test_order_recipients.py
+++ b/tests/platform_adapter/test_order_recipients.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
+from dataclasses import replace
 
 from jacinthloom_core.planner.effects import PollWorker, Start
 from jacinthloom_core.planner.events import StartOutcome
@@ -15,6 +17,7 @@
 from testkit.hosted.worker import FIRST_AGE_S, WorkerStandIn
 
 TASK = TaskId("a" * 16, 0, 0, 0)
+OTHER_TASK = TaskId("a" * 16, 0, 0, 1)
 AGE_MS = int(FIRST_AGE_S * 1000)
 """Clock of the former life when it is first started."""
 
@@ -124,5 +127,55 @@
         self.proxy.heal()
 
 
+class JoinedPathTest(unittest.IsolatedAsyncioTestCase):
+    """A path keeps connections when the process behind it ends, and joins the next."""
+
+    async def asyncSetUp(self) -> None:
+        self.worker = WorkerStandIn("w1", run_s=5.0)
+        await self.worker.start()
+        self.proxy = LinkProxy(self.worker.address, joins_lives=True)
+        self.client = WorkerClient("w1", await self.proxy.start())
+        self.former = self.worker.born
+        order = Start(
+            "w1", "", 1, self.former, TASK, 1, "", "", "", FAR_MS, AGE_MS - 1_000
+        )
+        self.assertEqual(await self.client.start(order), StartOutcome.STARTED)
+        await self.worker.crash()
+        await self.worker.restart()
+        await asyncio.sleep(0.2)
+        self.order = replace(order, task=OTHER_TASK)
+
+    async def asyncTearDown(self) -> None:
+        self.client.close()
+        await self.proxy.close()
+        await self.worker.close()
+
+    # Guards against a planner that takes a run of the next life for one of the former
+    # life, whose lease it counts: the identification of a connection is void here.
+    async def test_answer_of_the_next_life_is_told_by_its_clock(self) -> None:
+        outcome = await self.client.start(self.order)
+        self.assertEqual(
+            self.worker.started[1:], [(format_task(OTHER_TASK), 1)], "not joined"
+        )
+        self.assertEqual(outcome, StartOutcome.ANSWERED_BY_OTHER)
+        lease_ms = self.worker._deadline_ms - self.worker._clock_ms
+        self.assertGreater(lease_ms, 9_000)
+
+    # Guards against the same by a refusal: the order may have renewed the lease.
+    async def test_refusal_of_the_next_life_is_told_by_its_clock(self) -> None:
+        await self.client.start(replace(self.order, run=2))
+        outcome = await self.client.start(self.order)
+        self.assertEqual([run for _, run in self.worker.started[1:]], [2])
+        self.assertEqual(outcome, StartOutcome.ANSWERED_BY_OTHER)
+
+    # Guards against a life that is taken for another one, as its clock is slow.
+    async def test_answer_of_the_intended_life_counts(self) -> None:
+        born, clock_ms = self.worker.born, self.worker._clock_ms
+        own = replace(self.order, incarnation=born, least_clock_ms=clock_ms)
+        client = WorkerClient("w1", self.worker.address)
+        self.addCleanup(client.close)
+        self.assertEqual(await client.start(own), StartOutcome.STARTED)
+
+
 if __name__ == "__main__":
     unittest.main()
