Notice a poll that another life answers on an identified connection

Cause: a connection that had identified itself kept its identity, also if the response to a later poll on it names another life, as behind a path that joins connections: starts for the former life followed on it. Change: each response to a poll identifies its connection; if it leads to another process than before, the idle connections are closed. The response is decoded once, as before. Evidence: test_poll_that_the_next_life_answers_identifies_its_connection fails without the change (the next life carries the start out).

--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/worker_client.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/worker_client.py
@@ -120,9 +120,21 @@
             body["waitMs"] = int(poll.wait_s * 1000)
         recipient = self._make_recipient(poll) if poll.incarnation else None
         timeout_s = poll.wait_s + HOLD_TIMEOUT_MARGIN_S
-        read_identity = None if poll.incarnation else _read_incarnation
-        response = await self._post("/hold", body, timeout_s, recipient, read_identity)
-        decoded = _read_hold(response)
+        decoded: HoldResponseBody | None = None
+
+        def read_incarnation(response: Response) -> int:
+            nonlocal decoded
+            try:
+                decoded = _read_hold(response)
+            except PlatformError:
+                return 0
+            return decoded.born
+
+        response = await self._post(
+            "/hold", body, timeout_s, recipient, read_incarnation
+        )
+        if decoded is None:
+            decoded = _read_hold(response)
         running, ends = decoded.to_running(), decoded.to_ends()
         is_complete = (
             len(decoded.endedRuns) < MAX_LISTED_ENDS
@@ -247,14 +259,6 @@
         ) from error
 
 
-def _read_incarnation(response: Response) -> int:
-    """Return the incarnation that answered a hold, or 0 if the response lacks it."""
-    try:
-        return _read_hold(response).born
-    except PlatformError:
-        return 0
-
-
 def _is_from_other(response: Response, least_clock_ms: int) -> bool:
     """Whether a later incarnation than the intended one has responded to an order.
 
--- a/packages/jacinthloom-wire/src/jacinthloom_wire/http_client.py
+++ b/packages/jacinthloom-wire/src/jacinthloom_wire/http_client.py
@@ -142,7 +142,8 @@
         :param new_connection: whether to open a new connection instead of reusing one
         :param recipient: process that the request is meant for; None for any
         :param read_identity: reads the identity of the process at the other end from
-            the response, 0 if it is not there; spares the connection to be asked for it
+            the response, 0 if it is not there; spares the connection to be asked for
+            it, and shows if it leads to another process than before
         :raises OtherRecipientError: if another process is at the address
         :raises TransportError: if no complete response was received; ``sent`` says
             whether the request may have been sent
@@ -162,8 +163,8 @@
                 connection.writer.write(data)
                 await connection.writer.drain()
                 response = await _read_response(connection)
-                if read_identity is not None and connection.identity == 0:
-                    connection.identity = read_identity(response)
+                if read_identity is not None:
+                    self._note_identity(connection, read_identity(response))
         except (OSError, EOFError, h11.ProtocolError, TimeoutError) as error:
             if connection is not None:
                 connection.close()
@@ -201,6 +202,15 @@
             raise ConnectionError(f"the host can't be resolved: {error}") from error
         return _Connection(reader, writer)
 
+    def _note_identity(self, connection: _Connection, identity: int) -> None:
+        if identity == 0:
+            return
+        if connection.identity not in (0, identity):
+            # The path has joined this connection to the next process, and perhaps
+            # the idle ones too.
+            self.close()
+        connection.identity = identity
+
     async def _check_recipient(
         self, connection: _Connection, recipient: Recipient
     ) -> None:
--- a/tests/platform_adapter/test_order_recipients.py
+++ b/tests/platform_adapter/test_order_recipients.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import unittest
-from unittest import mock
 from dataclasses import replace
+from unittest import mock
 
 from jacinthloom_core.planner.effects import PollWorker, Start
 from jacinthloom_core.planner.events import StartOutcome
@@ -188,6 +188,18 @@
         self.assertEqual([run for _, run in self.worker.started[1:]], [2])
         self.assertEqual(outcome, StartOutcome.ANSWERED_BY_OTHER)
 
+    # Guards against a start that follows a poll which another life than the intended
+    # one has answered, on the connection that it has answered on.
+    async def test_poll_that_the_next_life_answers_identifies_its_connection(
+        self,
+    ) -> None:
+        poll = PollWorker("w1", "", 1, self.former, 0, 0.0, 0)
+        answered = await self.client.hold(poll)
+        self.assertEqual(answered.incarnation, self.worker.born)
+        outcome = await self.client.start(self.order)
+        self.assertEqual(outcome, StartOutcome.OTHER_INCARNATION)
+        self.assertEqual(self.worker.started[1:], [])
+
     # Guards against a life that is taken for another one, as its clock is slow.
     async def test_answer_of_the_intended_life_counts(self) -> None:
         born, clock_ms = self.worker.born, self.worker._clock_ms
