--- a/testkit/planning/world.py
+++ b/testkit/planning/world.py
@@ -72,7 +72,7 @@
         elections then follow the election log
     :param recuts: number of times that the workers of an availability zone restart
         under their ids, and are cut off soon after
-    :param recut_kills: share of these cases in which the planner is killed as well
+    :param recut_kill_share: share of these cases in which the planner is killed as well
     :param store_outages: number of times that the store is down for longer than a lease
     :param min_outage_s: minimum seconds of such an outage
     :param long: share of jobs with tasks that run for up to 24 seconds
@@ -95,7 +95,7 @@
     drains: int = 0
     zone_cuts: int = 0
     recuts: int = 0
-    recut_kills: float = 0.7
+    recut_kill_share: float = 0.7
     store_outages: int = 0
     min_outage_s: float = LEASE_S
     long: float = 0.0
@@ -213,7 +213,7 @@
         self.claims = Claims(self, scenario.seed, ZONES)
         self.zone_cuts = ZoneCuts(self, scenario.seed, ZONES, scenario.zone_cuts)
         self.recuts = Recuts(
-            self, scenario.seed, ZONES, scenario.recuts, scenario.recut_kills
+            self, scenario.seed, ZONES, scenario.recuts, scenario.recut_kill_share
         )
         self.zones_out: set[str] = set()
         self._draining_workers: set[str] = set()
--- a/tests/planner/test_recut_workers.py
+++ b/tests/planner/test_recut_workers.py
@@ -28,7 +28,7 @@
         late=0.0,
         long=0.6,
         recuts=RECUTS,
-        recut_kills=0.0,
+        recut_kill_share=0.0,
         end_s=END_S,
     )
 
