Take a worker that left as announced for no crash once its next life is listed

What callers saw: nothing reported; found by the review. Four planned restarts of workers under their ids count as four crashes of a task that ran there, and give its job up (by reading). Cause: whether a lost worker was leaving was read from its entry, which may be that of its next life: what one life says applied to another. Change: an entry of another life keeps whether the one that it replaces was leaving. Evidence: test_life_that_was_leaving_has_not_crashed fails without the change; its companions pass before and after.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/crashes.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/crashes.py
@@ -150,7 +150,7 @@
         """
         loss = worker.loss
         is_common = loss is not None and self._has_common_cause(loss)
-        is_leaving = worker.entry is not None and not worker.entry.is_ready
+        is_leaving = worker.is_leaving(lost[0].incarnation)
         affected = []
         if not is_leaving:
             affected = [task for task in lost if task.state is not TaskState.DONE]
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/fleet.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/fleet.py
@@ -77,6 +77,8 @@
 
     :param token: fencing token for orders to the worker
     :param is_listed: whether the worker is in the list of workers
+    :param left_incarnation: latest incarnation that was leaving when the entry of
+        another one took the place of its own
     :param clock_ms: the worker's clock at the monotonic time ``clock_at``
     :param incarnation: latest known incarnation; 0 if none is known
     :param fenced_incarnation: incarnation that has confirmed the token
@@ -104,6 +106,7 @@
     token: int
     entry: WorkerEntry | None = None
     is_listed: bool = False
+    left_incarnation: int = 0
     clock_ms: int = 0
     clock_at: float = 0.0
     incarnation: int = 0
@@ -137,6 +140,9 @@
     def accept(self, entry: WorkerEntry) -> None:
         """Replace the entry, and adjust the free capacity to it."""
         before = self.entry.capacity if self.entry else Resources()
+        if self.entry is not None and self.entry.incarnation != entry.incarnation:
+            is_leaving = not self.entry.is_ready
+            self.left_incarnation = self.entry.incarnation if is_leaving else 0
         self.entry = entry
         self.largest_capacity = self.largest_capacity.component_max(entry.capacity)
         self.free_processors += entry.capacity.processors - before.processors
@@ -231,6 +237,13 @@
             self.incarnation,
         )
 
+    def is_leaving(self, incarnation: int) -> bool:
+        """Whether an incarnation drains, or did when it was last listed."""
+        entry = self.entry
+        if entry is not None and entry.incarnation in (0, incarnation):
+            return not entry.is_ready
+        return incarnation == self.left_incarnation
+
     def compute_deadline_ms(self, now: float, lease_s: float) -> int:
         """Return the time ``lease_s`` seconds from now on the worker's clock."""
         return int(self.clock_ms + (now - self.clock_at + lease_s) * 1000)
--- a/tests/planner/test_returned_workers.py
+++ b/tests/planner/test_returned_workers.py
@@ -7,6 +7,8 @@
 
 from jacinthloom_core.model.resources import Resources
 from jacinthloom_core.planner import effects, events
+from jacinthloom_core.planner.events import StartOutcome
+from jacinthloom_core.planner.jobs import Crash
 from jacinthloom_core.planner.specs import StepSpec
 
 from .test_takeover import (
@@ -56,6 +58,36 @@
         starts = self.apply(events.WorkerListed(1.5, fast), 1.5)
         self.assertEqual([start.worker for start in starts], ["w1"])
 
+    def lose_life(self, is_ready: bool, entry_is_first: bool) -> list[Crash]:
+        """Run a task on a life that ends; return what counts against the task.
+
+        :param is_ready: whether the life was not leaving
+        :param entry_is_first: whether the next life is listed before it answers
+        """
+        starts = self.apply(events.JobSubmitted(0.2, 1, JOB), 0.2)
+        start = starts[0]
+        outcome = StartOutcome.STARTED
+        self.apply(events.StartAnswered(0.4, "w1", start.task, start.run, outcome), 0.4)
+        self.apply(events.WorkerListed(1.0, replace(ENTRY, is_ready=is_ready)), 1.0)
+        self.apply(events.WorkerPollFailed(3.0, "w1"), 3.0)
+        if entry_is_first:
+            self.apply(events.WorkerListed(3.1, replace(ENTRY, incarnation=6)), 3.1)
+        self.poll(3.3, 6)
+        self.poll(3.4, 6)
+        step = self.planner.state.job_by_id[JOB.id].occurrences[0].steps[0]
+        return step.tasks[0].crashes
+
+    # Guards against tasks that are given up for workers that have left as announced:
+    # the entry of the next life was taken for that of the one that left.
+    def test_life_that_was_leaving_has_not_crashed(self) -> None:
+        self.assertEqual(self.lose_life(is_ready=False, entry_is_first=True), [])
+
+    def test_life_that_was_leaving_has_not_crashed_if_it_is_polled_first(self) -> None:
+        self.assertEqual(self.lose_life(is_ready=False, entry_is_first=False), [])
+
+    def test_life_that_was_not_leaving_has_crashed(self) -> None:
+        self.assertEqual(len(self.lose_life(is_ready=True, entry_is_first=True)), 1)
+
     def test_worker_whose_entry_has_no_start_time_is_used(self) -> None:
         entry = replace(ENTRY, labels=frozenset({"fast"}), incarnation=0)
         self.planner.handle(events.WorkerListed(0.2, entry))
