Restart and cut off workers in soaks without killing the planner

Cause: workers_recut kills the planner in most cases, so a soak that broke did not tell whether one planner is enough. Change: the kind workers_recut_no_kill; workers_recut is as before.

--- a/testkit/soak/faults.py
+++ b/testkit/soak/faults.py
@@ -6,6 +6,7 @@
 import contextlib
 import signal
 import time
+from functools import partial
 from typing import TYPE_CHECKING
 
 from ..hosted.deployment import STORE as STORE_PLACE
@@ -82,6 +83,7 @@
             "worker_crash": self._crash_worker,
             "worker_cut": self._cut_worker,
             "workers_recut": self._recut_workers,
+            "workers_recut_no_kill": partial(self._recut_workers, 0.0),
             "worker_stalled": self._stall_worker,
             "workers_mute": self._mute_workers,
             "worker_late": self._delay_orders,
@@ -366,11 +368,13 @@
         await asyncio.sleep(duration_s)
         proxy.heal()
 
-    async def _recut_workers(self) -> None:
+    async def _recut_workers(self, kill_share: float = 0.7) -> None:
         """Restart the workers of a zone under their ids, and cut them off soon after.
 
-        They crash silently. In most cases the planner is killed before the cut, so that
-        its successor has seen nothing of their former lives.
+        They crash silently. If the planner is killed before the cut, its successor has
+        seen nothing of their former lives.
+
+        :param kill_share: share of the cases in which it is killed
         """
         random = self._random
         zone = self._choose_worker().zone
@@ -395,7 +399,7 @@
             for worker in workers:
                 await worker.restart()
                 self._later(self._list_later(worker, random.uniform(0.0, 1.5)))
-            if random.random() < 0.7:
+            if random.random() < kill_share:
                 self._later(self._kill_planner_later(kill_at_s))
             await asyncio.sleep(cut_at_s)
             for proxy in proxies:
