Blame a task only once other losses can have been noticed

What callers saw: jobs that could be done are shown as failed when the workers of a zone restart within a second, though their tasks had been isolated. Cause: a crash was compared with other losses when its worker returned. A worker that is back within a second returns before the polls of the others have timed out. Change: an isolated task is given up 1.6 s after contact was lost at the earliest, the time of a long poll, and waits until then. Most of a zone, and at least four workers, is a common cause.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/crashes.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/crashes.py
@@ -54,6 +54,10 @@
 SIMULTANEOUS_S = 0.1
 """Maximum seconds between losses of workers that count as simultaneous."""
 
+NOTICE_S = 1.6
+"""Seconds within which contact is lost with all workers that crash at the same time:
+until a long poll times out."""
+
 MIN_SIMULTANEOUS_LOSSES = 4
 """Simultaneous losses of workers from which a common cause is assumed."""
 
@@ -134,6 +138,46 @@
     state.finish(job, JobState.FAILED, now)
 
 
+def _has_common_cause(state: PlannerState, loss: WorkerLoss) -> bool:
+    """Whether other workers, or most of the rack or zone, were lost at the time."""
+    losses = state.recent_losses
+    simultaneous = [
+        other
+        for other in losses
+        if abs(other.noticed_at - loss.noticed_at) <= SIMULTANEOUS_S
+    ]
+    if len(simultaneous) >= MIN_SIMULTANEOUS_LOSSES:
+        return True
+    overlapping = [other for other in losses if other.overlaps(loss)]
+    entries = [
+        worker.entry
+        for worker in state.worker_by_id.values()
+        if worker.entry and (worker.is_listed or worker.loss is not None)
+    ]
+    lost_in_rack = sum(other.rack == loss.rack for other in overlapping)
+    in_rack = sum(entry.rack == loss.rack for entry in entries)
+    if loss.rack and lost_in_rack > 1 and 2 * lost_in_rack >= in_rack:
+        return True
+    lost_in_zone = sum(other.zone == loss.zone for other in overlapping)
+    in_zone = sum(entry.zone == loss.zone for entry in entries)
+    return lost_in_zone >= MIN_SIMULTANEOUS_LOSSES and 2 * lost_in_zone >= in_zone
+
+
+def is_blamed(state: PlannerState, task: Task, now: float) -> bool | None:
+    """Whether a task is given up for the latest crash under it.
+
+    :returns: None while it is not known if other workers were lost at the same time
+    """
+    if not task.is_blamed or not task.crashes:
+        return False
+    if task.loss is not None and now - task.loss.noticed_at < NOTICE_S:
+        return None
+    if task.loss is not None and _has_common_cause(state, task.loss):
+        task.crashes[-1] = replace(task.crashes[-1], is_common=True)
+    task.is_blamed = not task.crashes[-1].is_common
+    return task.is_blamed
+
+
 class CrashHandler:
     """Gives up tasks that crash the workers that start them."""
 
@@ -149,7 +193,7 @@
         :param reason: ``LEASE_EXPIRED``, ``RESTARTED`` or ``REPLACED``
         """
         loss = worker.loss
-        is_common = loss is not None and self._has_common_cause(loss)
+        is_common = loss is not None and _has_common_cause(self._state, loss)
         is_leaving = worker.entry is not None and not worker.entry.is_ready
         affected = []
         if not is_leaving:
@@ -157,6 +201,7 @@
         for task in affected:
             _record_crash(task, worker, reason != LEASE_EXPIRED, is_common)
             task.lost_at = now
+            task.loss = loss
             self._state.crashed_task_by_id[task.id] = task
         self._state.note(
             "worker_lost",
@@ -170,33 +215,10 @@
             common=is_common,
         )
         for task in affected:
-            if _is_to_blame(task, affected):
+            task.is_blamed = _is_to_blame(task, affected)
+            if is_blamed(self._state, task, now):
                 give_up(self._state, task, now)
 
-    def _has_common_cause(self, loss: WorkerLoss) -> bool:
-        """Whether other workers, most of the rack or all of the zone were lost too."""
-        losses = self._state.recent_losses
-        simultaneous = [
-            other
-            for other in losses
-            if abs(other.noticed_at - loss.noticed_at) <= SIMULTANEOUS_S
-        ]
-        if len(simultaneous) >= MIN_SIMULTANEOUS_LOSSES:
-            return True
-        overlapping = [other for other in losses if other.overlaps(loss)]
-        entries = [
-            worker.entry
-            for worker in self._state.worker_by_id.values()
-            if worker.entry and (worker.is_listed or worker.loss is not None)
-        ]
-        lost_in_rack = sum(other.rack == loss.rack for other in overlapping)
-        in_rack = sum(entry.rack == loss.rack for entry in entries)
-        if loss.rack and lost_in_rack > 1 and 2 * lost_in_rack >= in_rack:
-            return True
-        lost_in_zone = sum(other.zone == loss.zone for other in overlapping)
-        in_zone = sum(entry.zone == loss.zone for entry in entries)
-        return bool(loss.zone) and lost_in_zone > 1 and lost_in_zone >= in_zone
-
     def forget_losses(self, worker: Worker) -> None:
         """Forget the losses of a worker in the life in which it answers.
 
@@ -218,6 +240,8 @@
             if len(crashes) == len(task.crashes):
                 continue
             task.crashes = crashes
+            task.loss = None
+            task.is_blamed = False
             discount_start(task)
             self._state.store_occurrence(task.step.occurrence)
             if not task.crashes:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from .fleet import WorkerLoss
     from .specs import JobSpec, StepSpec
 
 
@@ -90,6 +91,9 @@
     :param outlived_s: maximum seconds of a run that its worker was lost under, and had
         outlived; stored like ``crashes``
     :param lost_at: time at which the latest of ``crashes`` was recorded or loaded
+    :param loss: loss of contact that the latest of ``crashes`` followed
+    :param is_blamed: whether it is given up, unless the latest of ``crashes`` turns out
+        to have a common cause with others
     """
 
     id: TaskId
@@ -116,6 +120,8 @@
     crashes: list[Crash] = field(default_factory=list)
     outlived_s: float = 0.0
     lost_at: float = 0.0
+    loss: WorkerLoss | None = None
+    is_blamed: bool = False
 
     @property
     def failed_attempts(self) -> int:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/scheduler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/scheduler.py
@@ -7,7 +7,12 @@
 
 from ..model.resources import Resources
 from .advice_candidates import choose_candidates
-from .crashes import give_up, has_open_loss, has_used_up_starts
+from .crashes import (
+    give_up,
+    has_open_loss,
+    has_used_up_starts,
+    is_blamed,
+)
 from .isolation import IsolationPolicy
 from .jobs import TaskState
 from .order import HOPELESS_LEVELS
@@ -170,15 +175,7 @@
             self.reason_by_step[step.id] = "a request for advice is in progress"
             return
         suspects = self._isolation.find_suspects(step)
-        for task in suspects:
-            if not task.is_waiting or not has_used_up_starts(task):
-                continue
-            if has_open_loss(task, now):
-                self.reason_by_step[step.id] = (
-                    "a worker that was lost under a task may not have crashed"
-                )
-            else:
-                give_up(self._state, task, now)
+        if self._give_up_or_wait(step, suspects, now):
             return
         if suspects and not step.spec.gang:
             # The other tasks of the step may crash their workers too.
@@ -212,6 +209,26 @@
         else:
             self._schedule_tasks(context, workers)
 
+    def _give_up_or_wait(self, step: StepRun, suspects: list[Task], now: float) -> bool:
+        """Give up a suspect that is to blame, or has no starts left.
+
+        :returns: whether the step starts nothing, for that or while it is not known
+        """
+        for task in suspects:
+            if not task.is_waiting:
+                continue
+            blamed = is_blamed(self._state, task, now)
+            is_used_up = has_used_up_starts(task)
+            if blamed or (is_used_up and not has_open_loss(task, now)):
+                give_up(self._state, task, now)
+                return True
+            if blamed is None or is_used_up:
+                self.reason_by_step[step.id] = (
+                    "it is not known yet why a worker was lost under a task"
+                )
+                return True
+        return False
+
     def _select_fitting(self, step: StepRun, usable: list[Worker]) -> list[Worker]:
         """Return the workers with the step's label and no tasks that rule it out."""
         spec = step.spec
--- a/tests/planner/test_deadly_tasks.py
+++ b/tests/planner/test_deadly_tasks.py
@@ -125,6 +125,15 @@
             self.list_worker(worker)
         self.wait(0.1)
 
+    def restart(self, worker: str, *silent: str) -> None:
+        """Restart a worker within 0.3 s, while others may be silent."""
+        for name in silent:
+            self.run_by_worker.pop(name, None)
+        self.planner.handle(events.WorkerPollFailed(self.now, worker))
+        self.wait(0.3, *silent)
+        self.incarnation_by_worker[worker] += 1
+        self.list_worker(worker)
+
     def cut_off(self, worker: str) -> None:
         """Cut a worker off until its leases have expired, also the longest ones."""
         self.planner.handle(events.WorkerPollFailed(self.now, worker))
@@ -235,6 +244,35 @@
         self.cut_off(worker)
         self.assertEqual(self.planner.find_job_state(job), "running")
 
+    # Guards against an isolated task that is blamed for the restart of a rack, whose
+    # other workers are noticed later.
+    def test_restart_that_other_workers_turn_out_to_share_is_not_blamed(self) -> None:
+        job = self.submit()
+        self.crash(*self.find_workers())
+        (worker,) = self.find_workers()
+        first = int(worker[1:]) // 4 * 4
+        rack = [f"w{number}" for number in range(first, first + 4)]
+        self.restart(worker, *rack)
+        self.assertEqual(self.find_workers(), [])
+        for other in rack:
+            if other != worker:
+                self.planner.handle(events.WorkerPollFailed(self.now, other))
+        self.wait(2.0, *(other for other in rack if other != worker))
+        self.assertEqual(self.planner.find_job_state(job), "running")
+        self.assertEqual(len(self.find_workers()), 1)
+
+    # Guards against a task that is never blamed if the workers return at once.
+    def test_task_whose_workers_return_at_once_is_given_up(self) -> None:
+        job = self.submit()
+        for _ in range(2):
+            (worker,) = self.find_workers()
+            self.restart(worker, worker)
+            self.wait(0.1)
+        self.assertEqual(self.planner.find_job_state(job), "running")
+        self.wait(2.0)
+        self.assertEqual(self.find_workers(), [])
+        self.assertEqual(self.planner.find_job_state(job), "failed")
+
     # Guards against a task that starts without limit on workers that stay silent.
     def test_task_is_given_up_if_the_lost_workers_stay_silent(self) -> None:
         job = self.submit()
