Stop checkpointing tasks for gangs that would miss their objective

Change: Preemption stops runs of queues with a larger priority number that save checkpoints, lose at most a fifth of their run time and keep their objective, and holds their capacity for the gang; off unless the settings tell what a checkpoint costs.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
@@ -80,6 +80,7 @@
     :param confirmed_at: time at which the worker confirmed the start
     :param has_unknown_outcome: whether an order for this run was not answered
     :param is_resumed: whether this run started from a checkpoint
+    :param preemptions: runs that were stopped to make room for a gang
     :param is_isolated: whether it was placed where no other job starts tasks meanwhile
     :param is_speed_recorded: whether the progress of this run was used to measure the
         speed of its worker
@@ -104,6 +105,7 @@
     incarnation: int = 0
     failures: int = 0
     stall_count: int = 0
+    preemptions: int = 0
     checkpoint: str = ""
     percent: int = 0
     progress_at: float = 0.0
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/order.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/order.py
@@ -89,6 +89,25 @@
     return spec.received_ms
 
 
+def estimate_remaining_path_s(
+    job: Job, number: int, predict: Callable[[str, float], float]
+) -> float:
+    """Return the expected length of the longest path from a step on, in seconds.
+
+    :param number: number of the step that the path starts with
+    :param predict: returns the expected run time of a task, in seconds, from its queue
+        and its declared run time
+    """
+    steps = job.spec.steps
+    length_by_step: dict[int, float] = {}
+    for index in range(number, len(steps)):
+        before = [length_by_step[n] for n in steps[index].after if n in length_by_step]
+        if index == number or before:
+            run_s = predict(job.spec.queue, steps[index].estimate_s)
+            length_by_step[index] = max(before, default=0.0) + run_s
+    return max(length_by_step.values())
+
+
 def estimate_critical_path_s(job: Job, predict: Callable[[str, float], float]) -> float:
     """Return the expected length of the critical path of a job's steps, in seconds.
 
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/scheduler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/scheduler.py
@@ -17,6 +17,7 @@
 from .jobs import TaskState
 from .order import HOPELESS_LEVELS
 from .placement import place_gang, place_tasks
+from .preemption import Preemption
 from .reservations import BUSY_SHARE, Reservations, ReservationTurns
 from .sharing import may_share
 
@@ -59,6 +60,13 @@
             w for w in workers if w.id in tickets and advice.find_ticket(w, self.now)
         ]
 
+    def select_permitted(self, workers: list[Worker]) -> list[Worker]:
+        """Return the workers that the step may run on, with a new ticket if needed."""
+        advice = self.advice
+        if advice is None:
+            return workers
+        return [w for w in workers if advice.is_recommended_by_worker.get(w.id, False)]
+
     def select_possible(self, workers: list[Worker]) -> list[Worker]:
         """Return the workers that the advice service has not refused."""
         advice = self.advice
@@ -89,6 +97,7 @@
         self._state = state
         self._order = order
         self._isolation = IsolationPolicy(state)
+        self._preemption = Preemption(state)
         self._reservations = Reservations()
         self._reserved_limits: list[tuple[str, Resources, int]] = []
         self._waiting_suspects: list[tuple[StepRun, list[Worker]]] = []
@@ -108,6 +117,7 @@
         self.considered_steps = 0
         self._drained_gangs = 0
         self._isolation.release_hosts(now)
+        self._preemption.release_expired(now)
         usable = self._group_usable(now)
         self._busy_services = {
             service for service, workers in usable.items() if _is_busy(workers)
@@ -236,7 +246,11 @@
             usable = [w for w in usable if w.entry and spec.label in w.entry.labels]
         if spec.fills or spec.target_s:
             usable = [worker for worker in usable if may_share(step, worker)]
-        return [w for w in usable if self._isolation.may_start(step, w)]
+        return [
+            w
+            for w in usable
+            if self._isolation.may_start(step, w) and self._preemption.may_use(step, w)
+        ]
 
     def _schedule_tasks(self, context: _StepContext, workers: list[Worker]) -> None:
         step, waiting = context.step, context.waiting
@@ -308,6 +322,11 @@
                     self._reservations.reserve(worker, step.spec.size, step.spec.fills)
             self._request_advice(context, possible, waiting)
             return
+        if not suspects and self._preemption.make_room(
+            step, context.queue, context.select_permitted(possible), context.now
+        ):
+            self.reason_by_step[step.id] = "runs are being stopped to make room"
+            return
         self.reason_by_step[step.id] = "not enough free capacity for the whole gang"
         if self._drained_gangs < MAX_DRAINED_GANGS:
             self._drain_for_gang(context, possible)
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/state.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
 from .advice import AdviceRequests
@@ -12,6 +12,7 @@
 from .fleet import Worker, WorkerLoss
 from .jobs import FINAL_STATES, JobState, TaskState, find_ready_steps
 from .lease_authority import KNOWN_PREDECESSOR_S
+from .preemption import CheckpointCosts
 from .rules import Rules
 from .run_times import RunTimes
 from .shares import SubmissionShares
@@ -45,6 +46,7 @@
     :param longest_lease_s: longest lease that a worker grants, in seconds
     :param predecessor_s: seconds after the load for which an earlier planner may renew
         leases
+    :param checkpoint_costs: what a preemption costs; without them, nothing is preempted
     """
 
     term: int
@@ -52,6 +54,7 @@
     status_s: float
     longest_lease_s: float = 10.0
     predecessor_s: float = KNOWN_PREDECESSOR_S
+    checkpoint_costs: CheckpointCosts = field(default_factory=CheckpointCosts)
 
 
 class PlannerState:
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
@@ -10,6 +10,7 @@
 
 from jacinthloom_core.planner.election import MIN_TERM_BEFORE_HANDOVER_S, Election
 from jacinthloom_core.planner.lease_authority import LeaseAuthority
+from jacinthloom_core.planner.preemption import CheckpointCosts
 from jacinthloom_core.planner.state import PlannerSettings
 from jacinthloom_wire.http_server import HttpServer, ServerLimits, ServerResponse
 
@@ -264,6 +265,9 @@
             self._settings.status_s,
             self._settings.longest_lease_s,
             lease_authority.predecessor_s,
+            CheckpointCosts(
+                self._settings.checkpoint_interval_s, self._settings.resume_s
+            ),
         )
         runner = PlannerRunner(
             self._store,
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/node_settings.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/platform/node_settings.py
@@ -28,6 +28,9 @@
     :param status_s: seconds for which the final state of a job can be queried
     :param grace_s: seconds from SIGTERM until the process is killed
     :param apply_s: seconds within which a new configuration must take effect
+    :param checkpoint_interval_s: seconds of work between two checkpoints of a task; 0
+        if it is unknown
+    :param resume_s: seconds that a resumed run takes to reach its checkpoint
     :param processors: cores that the process may use
     """
 
@@ -42,6 +45,8 @@
     status_s: float
     grace_s: float
     apply_s: float
+    checkpoint_interval_s: float
+    resume_s: float
     processors: float
 
     @classmethod
@@ -89,6 +94,8 @@
             status_s=reader.number("bounds.status_s", "120"),
             grace_s=reader.number("bounds.graceS", "6"),
             apply_s=reader.number("bounds.configApplyMs", "2000") / 1000,
+            checkpoint_interval_s=reader.number("bounds.checkpointS", "0"),
+            resume_s=reader.number("bounds.restoreMs", "0") / 1000,
             processors=reader.number("limits.cpuShare", "1")
             * reader.number("limits.cores", "1"),
         )
