Say why no capacity is made for a gang, and allow a second preemption

Cause: gangs still waited beside tasks with much slack, and the log did not say why. Change: the reason of step_waits names the obstacle; a task may be preempted twice, and is assumed to restart within 2 s.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/preemption.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/preemption.py
@@ -25,13 +25,13 @@
 """Largest share of a task's expected run time that a preemption may cost. Above it, the
 work that is repeated outweighs the capacity that draining leaves idle."""
 
-MAX_PREEMPTIONS = 1
+MAX_PREEMPTIONS = 2
 """Maximum number of preemptions of one task, so that each makes progress."""
 
 STOP_S = 1.0
 """Seconds in which a worker stops a run and lists its end."""
 
-RESTART_S = 3.0
+RESTART_S = 2.0
 """Seconds assumed until a preempted task runs again: new advice, and a free worker."""
 
 HOLD_S = 3.0
@@ -123,29 +123,31 @@
 
     def make_room(
         self, step: StepRun, queue: Queue, workers: list[Worker], now: float
-    ) -> bool:
+    ) -> str:
         """Stop enough runs for a gang that fits on no set of workers.
 
         :param workers: workers that are known to be permitted for the gang
-        :returns: whether capacity is held for the gang
+        :returns: why no capacity is held for the gang, or an empty string if it is
         """
         if self.has_holds(step):
-            return True
+            return ""
         if not self._state.settings.checkpoint_costs.interval_s:
-            return False
-        if not self._meets_objective(step, STOP_S, 0.0):
-            return False
+            return "the cost of a checkpoint is unknown"
+        if self._compute_slack_s(step, STOP_S, 0.0) < 0:
+            return "it would miss its objective nevertheless"
         plans = self._choose_plans(step, queue, workers)
+        if not plans:
+            return f"too few runs may be stopped on {len(workers)} permitted workers"
         stopped = sum(plan.processors for plan in plans)
-        if not plans or stopped > self._find_allowance(queue.service):
-            return False
+        if stopped > self._find_allowance(queue.service):
+            return "too many runs are being stopped for others"
         for plan in plans:
             self._hold_by_worker[plan.worker.id] = _Hold(
                 step.id, queue.service, plan.processors, now + HOLD_S
             )
             for task in plan.victims:
                 self._stop(task, step)
-        return True
+        return ""
 
     def _find_allowance(self, service: str) -> int:
         """Return the processors that may still be stopped in a pool, in millicores."""
@@ -243,9 +245,6 @@
         end_s = self._state.wall_ms / 1000 + delay_s + path_s - done_s
         return step.due_s + step.objective_s - end_s
 
-    def _meets_objective(self, step: StepRun, delay_s: float, done_s: float) -> bool:
-        return self._compute_slack_s(step, delay_s, done_s) >= 0
-
     def _stop(self, task: Task, gang: StepRun) -> None:
         state = self._state
         task.preemptions += 1
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/scheduler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/scheduler.py
@@ -322,12 +322,15 @@
                     self._reservations.reserve(worker, step.spec.size, step.spec.fills)
             self._request_advice(context, possible, waiting)
             return
-        if not suspects and self._preemption.make_room(
-            step, context.queue, context.select_permitted(possible), context.now
-        ):
-            self.reason_by_step[step.id] = "runs are being stopped to make room"
-            return
         self.reason_by_step[step.id] = "not enough free capacity for the whole gang"
+        if not suspects:
+            obstacle = self._preemption.make_room(
+                step, context.queue, context.select_permitted(possible), context.now
+            )
+            if not obstacle:
+                self.reason_by_step[step.id] = "runs are being stopped to make room"
+                return
+            self.reason_by_step[step.id] += f"; none is made: {obstacle}"
         if self._drained_gangs < MAX_DRAINED_GANGS:
             self._drain_for_gang(context, possible)
 
