Order steps of one level and priority by past usage

Cause: shares hold over seconds, while some client accounts use far more than others over hours. Change: PastUse keeps a decayed usage for each account, compares it with its weight, and shifts the latest start of its steps by at most a quarter of their objective; stored as usage.past with the planner's batches and loaded by a successor; off unless the planner's settings have a half-life. The emulator's scenarios run with a half-life of 10 s.

--- a/bench/planning.py
+++ b/bench/planning.py
@@ -38,6 +38,7 @@
 
     from jacinthloom_core.planner.effects import Effect
     from jacinthloom_core.planner.jobs import StepRun
+    from jacinthloom_core.planner.past_use import PastUse
     from jacinthloom_core.planner.rules import Queue
     from jacinthloom_core.planner.run_times import RunTimes
     from jacinthloom_core.planner.specs import TaskId
@@ -63,7 +64,7 @@
 class FirstComeFirstServedOrder(OrderPolicy):
     """Ranks steps by the time of submission."""
 
-    def __init__(self, run_times: RunTimes) -> None:
+    def __init__(self, run_times: RunTimes, past_use: PastUse) -> None:
         self._run_times = run_times
 
     def rank(self, step: StepRun, queue: Queue, now_ms: int) -> Rank:
@@ -98,7 +99,7 @@
     return due_s + queue.stretch * critical_path_s + queue.target_s
 
 
-ORDER_POLICIES: dict[str, Callable[[RunTimes], OrderPolicy]] = {
+ORDER_POLICIES: dict[str, Callable[[RunTimes, PastUse], OrderPolicy]] = {
     "first_come": FirstComeFirstServedOrder,
     "earliest_deadline": EarliestDeadlineOrder,
     "least_laxity": LeastLaxityOrder,
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/batches.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/batches.py
@@ -6,10 +6,17 @@
 from typing import TYPE_CHECKING
 
 from .effects import Reply, Store
-from .records import encode_job, encode_occurrence, encode_queue, encode_removal
+from .records import (
+    encode_job,
+    encode_occurrence,
+    encode_past_use,
+    encode_queue,
+    encode_removal,
+)
 
 if TYPE_CHECKING:
     from .jobs import Job, Occurrence, Task
+    from .past_use import StoredPastUse
     from .records import Record
     from .rules import Queue
 
@@ -48,6 +55,7 @@
     :param replies: replies to send once the batch is stored
     :param calls_by_job: calls that submitted a job of this batch
     :param ends: ends of runs that workers may drop once the batch is stored
+    :param past_use: past usage of the client accounts, if it is stored in this batch
     """
 
     number: int
@@ -61,6 +69,7 @@
     replies: list[Reply] = field(default_factory=list)
     calls_by_job: dict[str, list[int]] = field(default_factory=dict)
     ends: list[StoredEnd] = field(default_factory=list)
+    past_use: StoredPastUse | None = None
 
     @property
     def is_empty(self) -> bool:
@@ -74,6 +83,7 @@
             or self.replies
             or self.calls_by_job
             or self.ends
+            or self.past_use
         )
 
     @property
@@ -100,6 +110,8 @@
             else:
                 records.append(encode_occurrence(occurrence))
         records += [encode_removal(key) for key in dict.fromkeys(self.dropped)]
+        if self.past_use is not None:
+            records.append(encode_past_use(self.past_use))
         return tuple(records)
 
     def _may_drop(self, job: Job) -> bool:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
@@ -146,6 +146,9 @@
     :param objective_s: seconds that the objective allows; 0 until the first ranking
     :param latest_start_s: Unix time of the latest start that meets the objective, in
         seconds
+    :param past_use_shift_s: seconds by which the past usage of the client account
+        delayed the step in the last ranking; negative if it is preferred
+    :param is_shift_noted: whether the log has a line about the shift
     """
 
     id: StepId
@@ -159,6 +162,8 @@
     due_s: float = 0.0
     objective_s: float = 0.0
     latest_start_s: float = 0.0
+    past_use_shift_s: float = 0.0
+    is_shift_noted: bool = False
 
     @property
     def is_done(self) -> bool:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/order.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/order.py
@@ -9,6 +9,7 @@
     from collections.abc import Callable
 
     from .jobs import Job, StepRun
+    from .past_use import PastUse
     from .rules import Queue
     from .run_times import RunTimes
 
@@ -44,14 +45,19 @@
 class LatestStartOrder(OrderPolicy):
     """Orders by share and lateness, then priority, then the latest start in time.
 
+    Past usage shifts the latest start, so it orders only steps of one level and
+    priority.
+
     :param run_times: predicts how long tasks take
+    :param past_use: compares the usage of the client accounts over hours
     """
 
-    def __init__(self, run_times: RunTimes) -> None:
+    def __init__(self, run_times: RunTimes, past_use: PastUse) -> None:
         self._run_times = run_times
+        self._past_use = past_use
 
     def rank(self, step: StepRun, queue: Queue, now_ms: int) -> Rank:
-        """Return the level, the priority, and the latest start in Unix seconds.
+        """Return the level, the priority, and the shifted latest start in Unix seconds.
 
         The level depends on the share of the client account, and on whether the step
         is within its objective, beyond it, or beyond ``LATE_FACTOR`` times it.
@@ -66,9 +72,12 @@
             lateness = 1
         if age_s > LATE_FACTOR * step.objective_s:
             lateness = 2
-        is_beyond = step.occurrence.job.is_beyond_share
+        job = step.occurrence.job
+        is_beyond = job.is_beyond_share
         levels = BEYOND_SHARE_LEVELS if is_beyond else WITHIN_SHARE_LEVELS
-        return (levels[lateness], queue.priority, step.latest_start_s)
+        shift_s = self._past_use.find_shift_s(job.spec.tenant, step.objective_s)
+        step.past_use_shift_s = shift_s
+        return (levels[lateness], queue.priority, step.latest_start_s + shift_s)
 
     def _set_objective(self, step: StepRun, queue: Queue) -> None:
         """Set the objective of a step once, since estimates change only slowly."""
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
@@ -10,8 +10,15 @@
 from .jobs import JobState, TaskState
 from .order import LatestStartOrder
 from .order_responses import OrderResponseHandler
+from .past_use import note_shifted_steps
 from .reconciler import RunReconciler
-from .records import QUEUE_PREFIX, load_jobs, load_queues
+from .records import (
+    QUEUE_PREFIX,
+    RecordError,
+    load_jobs,
+    load_past_use,
+    load_queues,
+)
 from .scheduler import Scheduler
 from .start_dispatcher import StartDispatcher
 from .state import PlannerSettings, PlannerState
@@ -24,6 +31,7 @@
     from .events import Event
     from .jobs import Job, Task
     from .order import OrderPolicy
+    from .past_use import PastUse
     from .run_times import RunTimes
 
 STATUS_RETENTION_MARGIN_S = 60.0
@@ -56,14 +64,15 @@
     def __init__(
         self,
         settings: PlannerSettings,
-        make_order: Callable[[RunTimes], OrderPolicy] = LatestStartOrder,
+        make_order: Callable[[RunTimes, PastUse], OrderPolicy] = LatestStartOrder,
     ) -> None:
         state = PlannerState(settings)
         self.state = state
         self._intake = Intake(state)
         self._reconciler = RunReconciler(state, self._intake)
         self._order_responses = OrderResponseHandler(state)
-        self._scheduler = Scheduler(state, make_order(state.run_times))
+        order = make_order(state.run_times, state.past_use)
+        self._scheduler = Scheduler(state, order)
         self._start_dispatcher = StartDispatcher(state)
         self._pass_due = 0.0
         self._last_cleanup_at = 0.0
@@ -126,6 +135,22 @@
             jobs=len(state.job_by_id),
             unreadable_records=unreadable + unreadable_queues,
         )
+        self._load_past_use(records, now)
+
+    def _load_past_use(self, records: dict[str, bytes], now: float) -> None:
+        """Restore the past usage; an unreadable record counts as none."""
+        state = self.state
+        if not state.past_use.is_enabled:
+            return
+        try:
+            stored = load_past_use(records)
+        except RecordError as error:
+            state.note("past_use_unreadable", reason=str(error))
+            return
+        if stored is not None:
+            age_s = state.past_use.restore(stored, now, state.wall_ms)
+            accounts = len(stored.usage_by_client_account)
+            state.note("past_use_loaded", accounts=accounts, age_s=round(age_s, 1))
 
     def _has_failed(self, job: Job) -> bool:
         """Whether a job fails for a run whose end was stored before its final state.
@@ -191,16 +216,30 @@
         if state.needs_pass and now >= self._pass_due:
             state.needs_pass = False
             self._scheduler.run_pass(now)
+            note_shifted_steps(state, self._scheduler.reason_by_step)
             pause_s = (
                 PASS_INTERVAL_S + PASS_PER_STEP_S * self._scheduler.considered_steps
             )
             self._pass_due = now + pause_s
         state.effects.extend(state.advice_requests.dispatch(now))
         batches = state.batches
-        store = batches.flush(now) if batches.may_flush(now) else batches.retry(now)
+        if batches.may_flush(now):
+            self._store_past_use(now)
+            store = batches.flush(now)
+        else:
+            store = batches.retry(now)
         if store is not None:
             state.effects.append(store)
 
+    def _store_past_use(self, now: float) -> None:
+        """Add the record of past usage to the pending batch if it is due."""
+        state, pending = self.state, self.state.batches.pending
+        stored = state.past_use.take_record(now, state.wall_ms, not pending.is_empty)
+        if stored is not None:
+            pending.past_use = stored
+            accounts = len(stored.usage_by_client_account)
+            state.note("past_use_stored", accounts=accounts)
+
     def _on_batch_refused(self, event: events.BatchRefused) -> None:
         batches = self.state.batches
         batches.on_refused(event.number, event.now)
@@ -267,6 +306,7 @@
         state.wall_ms = event.wall_ms
         state.lease_authority_until = event.lease_authority_until
         state.needs_pass = True
+        state.past_use.on_tick(state, event.now)
         if state.batches.is_stalled(event.now):
             self._intake.refuse_unstored(state.batches.pending, event.now)
         for job in list(state.timed_by_id.values()):
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/records.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/records.py
@@ -1,7 +1,8 @@
-"""Encoding of the stored records: one for each queue, job and occurrence of a job."""
+"""Encoding of the stored records: of queues, jobs and their occurrences, and usage."""
 
 from __future__ import annotations
 
+import math
 from dataclasses import astuple, dataclass, replace
 from typing import Any
 
@@ -9,6 +10,7 @@
 
 from ..model.resources import Resources
 from .jobs import Crash, Job, JobState, Occurrence, TaskState
+from .past_use import StoredPastUse
 from .rules import AdvicePolicy, Queue
 from .specs import JobSpec, StepSpec
 
@@ -26,6 +28,10 @@
 QUEUE_PREFIX = "queue:"
 """Prefix of the keys of queue records."""
 
+PAST_USE_KEY = "usage.past"
+"""Key of the record of past usage. Builds that don't know it take it for the occurrence
+of an unknown job, and ignore it."""
+
 
 class RecordError(ValueError):
     """Raised for a stored record that can't be decoded."""
@@ -175,6 +181,43 @@
     return bytes(msgpack.packb(value))
 
 
+def encode_past_use(stored: StoredPastUse) -> Record:
+    """Encode the past usage of the client accounts.
+
+    A record that would be too large is encoded without the accounts of least usage.
+    """
+    usage = stored.usage_by_client_account
+    rows = sorted(usage.items(), key=lambda row: (-row[1], row[0]))
+    while True:
+        fields = [FORMAT, stored.wall_ms, [list(row) for row in rows]]
+        value = bytes(msgpack.packb(fields))
+        if len(value) <= MAX_VALUE_BYTES:
+            return Record(PAST_USE_KEY, value)
+        rows = rows[: len(rows) // 2]
+
+
+def load_past_use(records: dict[str, bytes]) -> StoredPastUse | None:
+    """Decode the record of past usage.
+
+    :returns: the past usage, or None if no record is stored
+    :raises RecordError: if the record can't be decoded
+    """
+    value = records.get(PAST_USE_KEY)
+    if value is None:
+        return None
+    try:
+        version, wall_ms, rows = msgpack.unpackb(value)
+        usage = {str(account): float(usage_s) for account, usage_s in rows}
+        stored = StoredPastUse(int(wall_ms), usage)
+    except (ValueError, TypeError, OverflowError) as error:
+        raise RecordError(f"the record of past usage: {error}") from error
+    if version != FORMAT:
+        raise RecordError(f"record format {version} is not supported, only {FORMAT}")
+    if not all(math.isfinite(usage_s) and usage_s >= 0 for usage_s in usage.values()):
+        raise RecordError("the record of past usage has a value that is not a usage")
+    return stored
+
+
 def encode_removal(key: str) -> Record:
     """Return the record that removes a key."""
     return Record(key, b"")
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/state.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/state.py
@@ -12,6 +12,7 @@
 from .fleet import Worker, WorkerLoss
 from .jobs import FINAL_STATES, JobState, TaskState, find_ready_steps
 from .lease_authority import KNOWN_PREDECESSOR_S
+from .past_use import PastUse
 from .rules import Rules
 from .run_times import RunTimes
 from .shares import SubmissionShares
@@ -45,6 +46,8 @@
     :param longest_lease_s: longest lease that a worker grants, in seconds
     :param predecessor_s: seconds after the load for which an earlier planner may renew
         leases
+    :param past_use_half_life_s: half-life of the past usage of client accounts, in
+        seconds; 0 if it has no effect
     """
 
     term: int
@@ -52,6 +55,7 @@
     status_s: float
     longest_lease_s: float = 10.0
     predecessor_s: float = KNOWN_PREDECESSOR_S
+    past_use_half_life_s: float = 0.0
 
 
 class PlannerState:
@@ -85,6 +89,7 @@
         self.worker_speeds = WorkerSpeeds()
         self.run_times = RunTimes()
         self.shares = SubmissionShares()
+        self.past_use = PastUse(settings.past_use_half_life_s)
         self.batches = BatchQueue()
         self.effects: list[Effect] = []
         self.counters: Counter[str] = Counter()
--- a/testkit/planning/world.py
+++ b/testkit/planning/world.py
@@ -32,6 +32,8 @@
     from jacinthloom_core.planner.specs import TaskId
 
 LEASE_S = 6.0
+PAST_USE_HALF_LIFE_S = 10.0
+"""Half-life of past usage: short, so that it moves steps within a scenario."""
 NETWORK_LATENCY_S = 0.004
 FAULTS_END_S = 25.0
 """Virtual time up to which jobs arrive and faults occur."""
@@ -139,7 +141,11 @@
         """Whether it may send starts; lost if another was elected during a freeze."""
         self._deferred: deque[Callable[[], None]] = deque()
         settings = PlannerSettings(
-            term, LEASE_S, 120.0, predecessor_s=self.claim.lease_authority.predecessor_s
+            term,
+            LEASE_S,
+            120.0,
+            predecessor_s=self.claim.lease_authority.predecessor_s,
+            past_use_half_life_s=PAST_USE_HALF_LIFE_S,
         )
         self.planner = world.make_planner(settings)
         now = world.clock.now
--- a/tests/encodings.py
+++ b/tests/encodings.py
@@ -22,12 +22,15 @@
 from jacinthloom_core.model.records import Record as LogRecord
 from jacinthloom_core.model.resources import Resources
 from jacinthloom_core.planner.jobs import Job, JobState, TaskState
+from jacinthloom_core.planner.past_use import StoredPastUse
 from jacinthloom_core.planner.records import (
     Record,
     encode_job,
     encode_occurrence,
+    encode_past_use,
     encode_queue,
     load_jobs,
+    load_past_use,
     load_queues,
 )
 from jacinthloom_core.planner.rules import AdvicePolicy, Queue
@@ -197,7 +200,9 @@
     finished.steps[0].done = 3
     jobs = [running, ended, done]
     records += [encode_job(job) for job in jobs]
-    return [*records, encode_occurrence(occurrence), encode_occurrence(finished)]
+    records += [encode_occurrence(occurrence), encode_occurrence(finished)]
+    usage = {"account-1": 12.5, "account-2": 3.25}
+    return [*records, encode_past_use(StoredPastUse(1_700_000_000_000, usage))]
 
 
 def _set_incarnation(task: Any, value: int) -> None:
@@ -239,6 +244,9 @@
     for job in jobs.values():
         records.append(encode_job(job))
         records += [encode_occurrence(item) for item in job.occurrences.values()]
+    past_use = load_past_use(value_by_key)
+    assert past_use is not None
+    records.append(encode_past_use(past_use))
     return {record.key: record.value for record in records}
 
 
