Read the half-life of past usage from the environment

Cause: the planner's setting has no source in the hosted process. Change: EntryProcess reads JACINTHLOOM_PAST_USE_HALF_LIFE_S, 0 if it is not set; a value that is neither 0 nor at least 60 ends the process with exit code 2 and a sentence.

--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/__main__.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/__main__.py
@@ -22,11 +22,10 @@
     """Run an entry process until SIGTERM."""
     set_up_logging()
     try:
-        settings = NodeSettings.from_environment()
+        asyncio.run(_run(NodeSettings.from_environment()))
     except SettingsError as error:
         print(error, file=sys.stderr)
         return EXIT_BAD_SETTINGS
-    asyncio.run(_run(settings))
     return 0
 
 
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import secrets
 import signal
 from collections import Counter
@@ -20,6 +21,7 @@
 from . import clock, log, messages
 from .client_handler import ClientHandler
 from .elections import ElectionFollower
+from .environment import read_past_use_half_life_s
 from .feeds import OperatorFeed
 from .metrics import METRICS_PORT, ProcessMetrics
 from .planner_client import PlannerClient
@@ -61,10 +63,14 @@
 
 
 class EntryProcess:
-    """Serve clients, and run the planner while elected."""
+    """Serve clients, and run the planner while elected.
+
+    :raises SettingsError: if an environment variable is invalid
+    """
 
     def __init__(self, settings: NodeSettings) -> None:
         self._settings = settings
+        self._past_use_half_life_s = read_past_use_half_life_s(os.environ)
         self._member = f"{settings.name}.{secrets.token_hex(3)}"
         self._store = LogStore(settings.store_address)
         self._advice_client = AdviceClient(settings.advice_address or "127.0.0.1:9")
@@ -264,6 +270,7 @@
             self._settings.status_s,
             self._settings.longest_lease_s,
             lease_authority.predecessor_s,
+            past_use_half_life_s=self._past_use_half_life_s,
         )
         runner = PlannerRunner(
             self._store,
