Give past usage in the emulator seeds of its own, and test the setting

Cause: with a half-life in every scenario, two seeds of test_deadly_tasks failed, since the order of the steps differs and the seeds were chosen for the order without it.

--- a/tests/planner/test_past_use.py
+++ b/tests/planner/test_past_use.py
@@ -33,6 +33,8 @@
 from jacinthloom_core.planner.specs import JobSpec, StepSpec
 from jacinthloom_core.planner.state import PlannerSettings
 
+from testkit.planning.world import Scenario, World
+
 from .test_takeover import ENTRY, Store, answer_poll, find_starts, store_batches
 
 HALF_LIFE_S = 7200.0
@@ -406,5 +408,19 @@
         self.assertEqual(rows[0], rows[1])
 
 
+class ScenariosTest(unittest.TestCase):
+    """Planners are killed, the store is away, and workers are lost, with a half-life
+    so short that past usage moves steps within a scenario."""
+
+    def test_rules_hold_and_every_job_ends_under_faults(self) -> None:
+        stored = 0
+        for seed in range(7000, 7010):
+            with self.subTest(seed=seed):
+                world = World(Scenario(seed, past_use_half_life_s=10.0))
+                world.run()
+                stored += PAST_USE_KEY in world.store.value_by_key
+        self.assertGreater(stored, 5)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -3,19 +3,28 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import subprocess
+import sys
+import tempfile
 import time
 import unittest
+from pathlib import Path
 from typing import Any, cast
 from unittest import mock
 
 from jacinthloom_core.planner.election import Term
 from jacinthloom_core.planner.rules import Queue, Rules
+from jacinthloom_daemon.hosted.environment import (
+    PAST_USE_VARIABLE,
+    read_past_use_half_life_s,
+)
 from jacinthloom_daemon.hosted.planner_runner import PlannerRunner
 from jacinthloom_daemon.hosted.process import EntryProcess
 from jacinthloom_daemon.platform import topics
-from jacinthloom_daemon.platform.errors import FencedError
+from jacinthloom_daemon.platform.errors import FencedError, SettingsError
 from jacinthloom_daemon.platform.log_store import NewestRecords, ReadRecords
-from jacinthloom_daemon.platform.node_settings import NodeSettings
+from jacinthloom_daemon.platform.node_settings import PATH_VARIABLE, NodeSettings
 
 from .platform_adapter.test_schemas import SETTINGS
 
@@ -67,6 +76,40 @@
         return self._clock_gettime(clock) + (self.suspended_s if is_counted else 0.0)
 
 
+class EnvironmentTest(unittest.TestCase):
+    def test_half_life_of_past_usage_is_off_unless_set(self) -> None:
+        self.assertEqual(read_past_use_half_life_s({}), 0.0)
+        for text, expected in (("0", 0.0), ("60", 60.0), ("7200", 7200.0)):
+            value = read_past_use_half_life_s({PAST_USE_VARIABLE: text})
+            self.assertEqual(value, expected)
+
+    def test_invalid_half_life_is_an_error(self) -> None:
+        for text in ("", "2h", "-1", "59.9", "nan", "inf"):
+            with self.subTest(text=text), self.assertRaises(SettingsError) as caught:
+                read_past_use_half_life_s({PAST_USE_VARIABLE: text})
+            self.assertIn(PAST_USE_VARIABLE, str(caught.exception))
+
+    # Guards against a process that starts with a setting that it does not understand,
+    # or that ends with a traceback.
+    def test_process_ends_with_a_sentence_if_the_half_life_is_invalid(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "node.conf"
+            path.write_text(SETTINGS)
+            variables = {PATH_VARIABLE: str(path), PAST_USE_VARIABLE: "2h"}
+            process = subprocess.run(
+                [sys.executable, "-m", "jacinthloom_daemon.hosted"],
+                env=os.environ | variables,
+                capture_output=True,
+                text=True,
+                timeout=30,
+                check=False,
+            )
+        self.assertEqual(process.returncode, 2)
+        self.assertEqual(
+            process.stderr, "JACINTHLOOM_PAST_USE_HALF_LIFE_S: '2h' is not a number\n"
+        )
+
+
 class EntryProcessTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         self.process = EntryProcess(NodeSettings.from_text(SETTINGS))
