--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
@@ -149,6 +149,9 @@
     :param estimated_ms: Unix time of that estimate, in milliseconds
     :param latest_start_s: Unix time of the latest start that meets the objective, in
         seconds
+    :param past_use_shift_s: seconds by which the past usage of the client account
+        delayed the step in the last ranking; negative if it is preferred
+    :param is_shift_noted: whether the log has a line about the shift
     """
 
     id: StepId
@@ -163,6 +166,8 @@
     objective_s: float = 0.0
     estimated_ms: int = 0
     latest_start_s: float = 0.0
+    past_use_shift_s: float = 0.0
+    is_shift_noted: bool = False
 
     @property
     def is_done(self) -> bool:
--- a/testkit/planning/world.py
+++ b/testkit/planning/world.py
@@ -76,6 +76,7 @@
     :param store_outages: number of times that the store is down for longer than a lease
     :param min_outage_s: minimum seconds of such an outage
     :param long: share of jobs with tasks that run for up to 24 seconds
+    :param past_use_half_life_s: half-life of past usage, in seconds; 0 to disable
     :param end_s: virtual time by which every accepted job must have ended
     """
 
@@ -99,6 +100,7 @@
     store_outages: int = 0
     min_outage_s: float = LEASE_S
     long: float = 0.0
+    past_use_half_life_s: float = 0.0
     end_s: float = SCENARIO_END_S
 
 
@@ -139,7 +141,11 @@
         """Whether it may send starts; lost if another was elected during a freeze."""
         self._deferred: deque[Callable[[], None]] = deque()
         settings = PlannerSettings(
-            term, LEASE_S, 120.0, predecessor_s=self.claim.lease_authority.predecessor_s
+            term,
+            LEASE_S,
+            120.0,
+            predecessor_s=self.claim.lease_authority.predecessor_s,
+            past_use_half_life_s=world.scenario.past_use_half_life_s,
         )
         self.planner = world.make_planner(settings)
         now = world.clock.now
