Forecast completion times from the backlog

Cause: the planner can't tell how long a job that arrives now would take, so it accepts jobs that can only complete after they earn anything.

Change: PlacedWork sums the placed tasks by queue and expected end with each placement and release; Backlog adds the pending work ahead in scheduling order, over the capacity of the service, from a summary that is rebuilt for a submission at most every 0.5 s, less often with many workers and steps.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
@@ -78,6 +78,8 @@
     :param placed_at: time at which this planner ordered the run; 0 if an earlier
         planner did
     :param confirmed_at: time at which the worker confirmed the start
+    :param expected_end: time at which this run is expected to end, as ``PlacedWork``
+        rounds it
     :param has_unknown_outcome: whether an order for this run was not answered
     :param is_resumed: whether this run started from a checkpoint
     :param is_isolated: whether it was placed where no other job starts tasks meanwhile
@@ -109,6 +111,7 @@
     progress_at: float = 0.0
     placed_at: float = 0.0
     confirmed_at: float = 0.0
+    expected_end: float = 0.0
     has_unknown_outcome: bool = False
     is_stopping: bool = False
     is_resumed: bool = False
@@ -139,6 +142,7 @@
     """State of one step of one occurrence.
 
     :param done: number of tasks that are done
+    :param placed: number of tasks that are placed on a worker
     :param run: number of the latest run of a gang, which all its members share
     :param failures: failed runs of a gang
     :param failed_run: number of the latest failed run of a gang
@@ -153,6 +157,7 @@
     occurrence: Occurrence
     tasks: list[Task] = field(default_factory=list)
     done: int = 0
+    placed: int = 0
     run: int = 0
     failures: int = 0
     failed_run: int = 0
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/state.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/state.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 from .advice import AdviceRequests
+from .backlog import PlacedWork
 from .batches import BatchQueue
 from .effects import Note, Stop
 from .fleet import Worker, WorkerLoss
@@ -84,11 +85,14 @@
         self.advice_requests = AdviceRequests()
         self.worker_speeds = WorkerSpeeds()
         self.run_times = RunTimes()
+        self.placed_work = PlacedWork()
         self.shares = SubmissionShares()
         self.batches = BatchQueue()
         self.effects: list[Effect] = []
         self.counters: Counter[str] = Counter()
         self.wall_ms = 0
+        self.now = 0.0
+        """Monotonic time of the current event, in seconds."""
         self.lease_authority_until = float("-inf")
         """Time until which this planner may renew leases."""
         self.needs_pass = True
@@ -159,6 +163,11 @@
         task.incarnation = worker.incarnation
         worker.task_by_id[task.id] = task
         worker.reserve(spec.size, spec.fills)
+        run_s = self.run_times.predict(
+            task.step.occurrence.job.spec.queue, spec.estimate_s
+        )
+        self.placed_work.add(task, run_s, self.now)
+        task.step.placed += 1
         self.add_usage(task.step.occurrence.job.spec.tenant, spec.size, 1)
 
     def release(self, task: Task) -> None:
@@ -167,6 +176,8 @@
         if worker is not None and worker.task_by_id.pop(task.id, None) is not None:
             size = task.step.spec.size
             worker.release(size, task.step.spec.fills)
+            self.placed_work.remove(task)
+            task.step.placed -= 1
             self.add_usage(task.step.occurrence.job.spec.tenant, size, -1)
         task.worker = ""
         task.has_unknown_outcome = False
