Refuse jobs that can't complete while they are of use

Cause: under overload, callers of jobs that will earn nothing learn it only by waiting.

Change: AdmissionPolicy refuses a job whose forecast is beyond 1.5 times the time after which it earns nothing, unless free workers could start it, the fleet is not known, or another planner may have accepted it. Retry-After follows the forecast, in turn between the client accounts.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/intake.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/intake.py
@@ -11,6 +11,7 @@
 from .retry_after import compute_retry_after_s
 
 if TYPE_CHECKING:
+    from .admission import AdmissionPolicy, Refusal
     from .batches import Batch
     from .events import CancelRequested, JobSubmitted
     from .specs import JobSpec
@@ -36,8 +37,9 @@
     An acceptance or cancellation is reported to callers once it is stored.
     """
 
-    def __init__(self, state: PlannerState) -> None:
+    def __init__(self, state: PlannerState, admission: AdmissionPolicy) -> None:
         self._state = state
+        self._admission = admission
 
     def on_submitted(self, event: JobSubmitted) -> None:
         """Accept or refuse a job; submitting a known id again is idempotent."""
@@ -61,9 +63,16 @@
             state.note("job_refused", job=spec.id, reason=problem)
             state.effects.append(Reply(event.call, BAD_REQUEST, problem))
             return
-        job.is_beyond_share = state.shares.is_beyond(
+        promised = self._admission.take_return(spec.id, event.now)
+        # A job that was refused within its share is not counted twice against it.
+        was_within_share = promised is not None and not promised.is_beyond_share
+        job.is_beyond_share = not was_within_share and state.shares.is_beyond(
             spec.tenant, spec.received_ms, state.rules
         )
+        refusal = self._admission.check(job, promised, event.now)
+        if refusal is not None:
+            self._refuse_for_shortage(job, refusal, event.call)
+            return
         state.job_by_id[spec.id] = job
         state.store_queue(spec.queue)
         state.batches.pending.jobs[spec.id] = job
@@ -74,6 +83,7 @@
             queue=spec.queue,
             client_account=spec.tenant,
             beyond_share=job.is_beyond_share,
+            is_return=promised is not None,
             rules=state.rules.version,
         )
         self.open_job(job, event.now)
@@ -92,6 +102,33 @@
         retry_s = compute_retry_after_s(stalled_s)
         state.effects += [Reply(call, UNAVAILABLE, reason, retry_s) for call in calls]
 
+    def _refuse_for_shortage(self, job: Job, refusal: Refusal, call: int) -> None:
+        """Refuse a job that would complete too late to be of use.
+
+        Nothing of it is stored or scheduled, so it never runs by this submission.
+        """
+        state, spec, forecast = self._state, job.spec, refusal.forecast
+        state.counters["job_refused_for_shortage"] += 1
+        state.note(
+            "job_refused",
+            job=spec.id,
+            reason="shortage",
+            queue=spec.queue,
+            client_account=spec.tenant,
+            beyond_share=job.is_beyond_share,
+            forecast_s=round(forecast.completion_s, 2),
+            limit_s=round(refusal.limit_s, 2),
+            objective_s=round(forecast.objective_s, 2),
+            placed_s=round(forecast.placed_s, 2),
+            ahead_s=round(forecast.ahead_s, 2),
+            path_s=round(forecast.path_s, 2),
+            is_return=refusal.is_return,
+            outstanding_returns=refusal.outstanding,
+            retry_after_s=refusal.retry_after_s,
+        )
+        reason = "the work ahead would take too long; the job was not accepted"
+        state.effects.append(Reply(call, UNAVAILABLE, reason, refusal.retry_after_s))
+
     def _refuse_unknown_queue(self, event: JobSubmitted) -> None:
         """Refuse a job whose queue is not in any known configuration.
 
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
@@ -5,7 +5,9 @@
 from typing import TYPE_CHECKING
 
 from . import events
+from .admission import AdmissionPolicy
 from .advice import Ticket
+from .backlog import Backlog
 from .intake import OK, Intake
 from .jobs import JobState, TaskState
 from .order import LatestStartOrder
@@ -60,10 +62,12 @@
     ) -> None:
         state = PlannerState(settings)
         self.state = state
-        self._intake = Intake(state)
+        order = make_order(state.run_times)
+        self._admission = AdmissionPolicy(state, Backlog(state, order))
+        self._intake = Intake(state, self._admission)
         self._reconciler = RunReconciler(state, self._intake)
         self._order_responses = OrderResponseHandler(state)
-        self._scheduler = Scheduler(state, make_order(state.run_times))
+        self._scheduler = Scheduler(state, order)
         self._start_dispatcher = StartDispatcher(state)
         self._pass_due = 0.0
         self._last_cleanup_at = 0.0
@@ -100,6 +104,7 @@
         :param wall_ms: Unix time in milliseconds
         """
         state = self.state
+        state.now = now
         state.wall_ms = wall_ms
         state.job_by_id, unreadable = load_jobs(records, now)
         queues, unreadable_queues = load_queues(records)
@@ -126,6 +131,7 @@
             jobs=len(state.job_by_id),
             unreadable_records=unreadable + unreadable_queues,
         )
+        self._admission.note_forgotten_returns()
 
     def _has_failed(self, job: Job) -> bool:
         """Whether a job fails for a run whose end was stored before its final state.
@@ -154,6 +160,7 @@
 
     def handle(self, event: Event) -> list[Effect]:
         """Process one event and return the resulting effects."""
+        self.state.now = event.now
         self._handler_by_event[type(event)](event)
         self._reconciler.send_polls(event.now, isinstance(event, events.Tick))
         self._flush(event.now)
