Accept a job for free workers only if they could run its first step

Cause: any hole that takes one task accepted a job of many tasks, whatever its forecast.

Change: free workers count if they take all tasks of a first step, or so many that the rest can follow within the objective.

Result: tests.planner.test_admission: 17 passed.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/admission.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/admission.py
@@ -230,7 +230,7 @@
             # It would be as late on an idle fleet, so it is of use to its caller late.
             return None
         excess_s = forecast.completion_s - FORECAST_ERROR_FACTOR * limit_s
-        if excess_s <= 0 or self._may_start(job, queue, now):
+        if excess_s <= 0 or self._may_run(job, queue, forecast, now):
             return None
         retry_s = self._returns.choose_delay_s(service, account, excess_s, now)
         outstanding = self._returns.count(service, account)
@@ -248,18 +248,34 @@
         )
         return Refusal(forecast, limit_s, promised is not None, outstanding, retry_s)
 
-    def _may_start(self, job: Job, queue: Queue, now: float) -> bool:
-        """Whether free workers could start any first step of a job.
+    def _may_run(self, job: Job, queue: Queue, forecast: Forecast, now: float) -> bool:
+        """Whether free workers could run any first step of a job now.
 
-        Labels and limits of client accounts don't count here: a free worker speaks for
-        the job even if a rule might keep it from that worker.
+        They could if all its tasks fit, or so many that, unless it is a gang, the rest
+        could follow them within the objective. Labels and limits of client accounts
+        don't count here: a free worker speaks for the job even if a rule might keep it
+        from that worker.
         """
-        first_steps = [step for step in job.occurrences[0].steps if not step.spec.after]
-        return any(self._fits(step, queue, now) for step in first_steps)
+        predict = self._state.run_times.predict
+        for step in job.occurrences[0].steps:
+            spec = step.spec
+            if spec.after:
+                continue
+            fitting = self._count_fitting(step, queue, now)
+            if fitting >= spec.count:
+                return True
+            if not fitting or spec.gang:
+                continue
+            later_rounds = math.ceil(spec.count / fitting) - 1
+            later_s = later_rounds * predict(queue.name, spec.estimate_s)
+            if forecast.path_s + later_s <= forecast.objective_s:
+                return True
+        return False
 
-    def _fits(self, step: StepRun, queue: Queue, now: float) -> bool:
+    def _count_fitting(self, step: StepRun, queue: Queue, now: float) -> int:
+        """Return how many tasks of a step fit on free workers, up to all of them."""
         spec = step.spec
-        missing = spec.count if spec.gang else 1
+        total = 0
         least_processors = 0 if spec.fills else spec.size.processors
         workers = self._state.worker_by_id.values()
         # Most workers are full then. Loops in Python over all of them would take up to
@@ -270,10 +286,10 @@
                 continue
             fitting = worker.count_fitting(spec.size, spec.fills)
             if fitting and self._state.is_usable(worker, now):
-                missing -= fitting
-                if missing <= 0:
-                    return True
-        return False
+                total += fitting
+                if total >= spec.count:
+                    break
+        return total
 
 
 def _has_objective(queue: Queue | None) -> bool:
--- a/tests/planner/test_admission.py
+++ b/tests/planner/test_admission.py
@@ -103,6 +103,14 @@
         self.apply(self.planner, emitted)
         self.wait(0.6)
 
+    def fill_limited(self, processors: int) -> None:
+        """Submit a burst of an account that may use some of the 1,000 millicores."""
+        limited = ClientAccount("large", 1000, Resources(processors, 0))
+        accounts = {**RULES.client_account_by_name, "large": limited}
+        rules = replace(RULES, version=2, client_account_by_name=accounts)
+        self.planner.handle(events.RulesChanged(self.now, rules))
+        self.fill()
+
     def wait(self, seconds: float) -> None:
         """Let time pass while the worker answers polls."""
         until = self.now + seconds
@@ -163,14 +171,18 @@
     # Guards against refusing while free workers could run the job: here the backlog
     # waits for the limit of its account, and not for workers.
     def test_free_workers_accept_whatever_the_backlog(self) -> None:
-        limited = ClientAccount("large", 1000, Resources(800, 0))
-        accounts = {**RULES.client_account_by_name, "large": limited}
-        rules = replace(RULES, version=2, client_account_by_name=accounts)
-        self.planner.handle(events.RulesChanged(self.now, rules))
-        self.fill()
+        self.fill_limited(600)
         self.assertEqual(self.submit("small", "plan")[1].status, 200)
-        gang = replace(TASK, count=3, gang=True)
-        self.assertEqual(self.submit("small", "plan", gang)[1].status, 503)
+        # Two tasks fit, so six take three rounds of 1 s, and the objective is 3 s.
+        self.assertEqual(
+            self.submit("small", "plan", replace(TASK, count=6))[1].status, 200
+        )
+
+    # Guards against accepting everything for a hole in which a single task fits.
+    def test_room_for_a_small_part_of_the_job_does_not_accept_it(self) -> None:
+        self.fill_limited(800)
+        for step in (replace(TASK, count=9), replace(TASK, count=3, gang=True)):
+            self.assertEqual(self.submit("small", "plan", step)[1].status, 503)
 
     def test_known_job_id_is_never_refused(self) -> None:
         job, _ = self.submit("large", "plan")
