Check refusals for a shortage in scenarios with faults

Cause: that nothing of a refused job runs was shown by unit tests without faults only.

Change: three seeds of the emulator with 200 jobs, with replaced planners, lost and late commands and store outages, in which submissions are refused for a shortage.

--- a/tests/planner/test_admission.py
+++ b/tests/planner/test_admission.py
@@ -7,15 +7,19 @@
 
 import unittest
 from dataclasses import replace
+from unittest.mock import patch
 
 from jacinthloom_core.model.resources import Resources
 from jacinthloom_core.planner import effects, events
 from jacinthloom_core.planner.admission import PromisedReturn, ReturnSchedule
 from jacinthloom_core.planner.backlog import PlacedWork, Work
+from jacinthloom_core.planner.intake import Intake
 from jacinthloom_core.planner.planner import Planner
 from jacinthloom_core.planner.rules import ClientAccount, Queue, Rules
 from jacinthloom_core.planner.specs import JobSpec, StepSpec
 
+from testkit.planning.world import Scenario, World
+
 from .test_takeover import ENTRY, Store, answer_poll, make_planner, store_batches
 
 RULES = Rules(
@@ -300,5 +304,19 @@
         return placed.sum_remaining("plan", self.now).processors
 
 
+class ScenariosTest(unittest.TestCase):
+    # Guards against a refused job that is stored or runs, with planners that are
+    # replaced, lost and late commands, and a store that is down.
+    def test_refusals_are_true_under_faults(self) -> None:
+        refuse = Intake._refuse_for_shortage
+        with patch.object(
+            Intake, "_refuse_for_shortage", autospec=True, side_effect=refuse
+        ) as refusals:
+            for seed in range(20, 23):
+                with self.subTest(seed=seed):
+                    World(Scenario(seed, jobs=200, end_s=175.0)).run()
+        self.assertGreater(refusals.call_count, 0)
+
+
 if __name__ == "__main__":
     unittest.main()
