--- a/tests/planner/test_admission.py
+++ b/tests/planner/test_admission.py
@@ -306,12 +306,16 @@
 
 class ScenariosTest(unittest.TestCase):
     # Guards against a refused job that is stored or runs, with planners that are
-    # replaced, lost and late commands, and a store that is down.
+    # replaced, lost and late commands, and a store that is down. Callers don't retry,
+    # as a start would then be by the later submission.
     def test_refusals_are_true_under_faults(self) -> None:
         refuse = Intake._refuse_for_shortage
-        with patch.object(
-            Intake, "_refuse_for_shortage", autospec=True, side_effect=refuse
-        ) as refusals:
+        with (
+            patch.object(World, "_retry_submission"),
+            patch.object(
+                Intake, "_refuse_for_shortage", autospec=True, side_effect=refuse
+            ) as refusals,
+        ):
             for seed in range(20, 23):
                 with self.subTest(seed=seed):
                     World(Scenario(seed, jobs=200, end_s=175.0)).run()
