--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
@@ -5,7 +5,9 @@
 from typing import TYPE_CHECKING
 
 from . import events
+from .admission import AdmissionPolicy
 from .advice import Ticket
+from .backlog import Backlog
 from .intake import OK, Intake
 from .jobs import JobState, TaskState
 from .order import LatestStartOrder
@@ -73,10 +75,11 @@
     ) -> None:
         state = PlannerState(settings)
         self.state = state
-        self._intake = Intake(state)
+        order = make_order(state.run_times, state.past_use)
+        self._admission = AdmissionPolicy(state, Backlog(state, order))
+        self._intake = Intake(state, self._admission)
         self._reconciler = RunReconciler(state, self._intake)
         self._order_responses = OrderResponseHandler(state)
-        order = make_order(state.run_times, state.past_use)
         self._scheduler = Scheduler(state, order)
         self._start_dispatcher = StartDispatcher(state)
         self._pass_due = 0.0
@@ -115,6 +118,7 @@
         :param wall_ms: Unix time in milliseconds
         """
         state = self.state
+        state.now = now
         state.wall_ms = wall_ms
         state.job_by_id, unreadable = load_jobs(records, now)
         queues, unreadable_queues = load_queues(records)
@@ -143,6 +147,7 @@
             unreadable_records=unreadable + unreadable_queues,
         )
         self._load_past_use(records, now)
+        self._admission.note_forgotten_returns()
 
     def _load_past_use(self, records: dict[str, bytes], now: float) -> None:
         """Restore the past usage; an unreadable record counts as none."""
@@ -208,6 +213,7 @@
 
     def handle(self, event: Event) -> list[Effect]:
         """Process one event and return the resulting effects."""
+        self.state.now = event.now
         self._handler_by_event[type(event)](event)
         self._reconciler.send_polls(event.now, isinstance(event, events.Tick))
         self._flush(event.now)
