Place steps by the measured speed and the recent failures of workers

Cause: a worker's speed ordered only tasks shorter than 2 s, by an average over four runs that follows the noise of declared times, and a worker that flaps or fails what it starts got new work as soon as it was back; gangs were spread over machines of different speed. Change: SpeedGroups compares the workers of each finished step and puts them into fast, typical and slow groups once they differ by 10% and three standard errors and a tenth of the fleet agrees. WorkerHealth keeps decaying evidence of silence, restarts, failed starts and failed runs, against the fleet's mean. Gangs take like and trusted workers; steps with little slack take fast ones; others use speed only between equally full workers.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/fleet.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/fleet.py
@@ -100,6 +100,8 @@
     :param largest_capacity: largest capacity that its entries have shown
     :param consecutive_failures: failed runs of different tasks since the last success
     :param slowness: run time relative to a typical worker
+    :param speed_group: how the worker's speed compares with the others of the fleet
+    :param doubt: level of the evidence that the worker fails or is lost; 0 for none
     """
 
     id: str
@@ -135,6 +137,8 @@
     largest_capacity: Resources = field(default_factory=Resources)
     consecutive_failures: int = 0
     slowness: float = 1.0
+    speed_group: int = 0
+    doubt: int = 0
     quarantined_until: float = 0.0
 
     def accept(self, entry: WorkerEntry) -> None:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
@@ -146,6 +146,9 @@
     :param objective_s: seconds that the objective allows; 0 until the first ranking
     :param latest_start_s: Unix time of the latest start that meets the objective, in
         seconds
+    :param ratio_by_run: worker of each run that was observed from start to end, with
+        the ratio of the run time to the declared one
+    :param slack_s: seconds until the latest start, as of the latest scheduling pass
     """
 
     id: StepId
@@ -159,6 +162,8 @@
     due_s: float = 0.0
     objective_s: float = 0.0
     latest_start_s: float = 0.0
+    ratio_by_run: list[tuple[str, float]] = field(default_factory=list)
+    slack_s: float = 0.0
 
     @property
     def is_done(self) -> bool:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/order_responses.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/order_responses.py
@@ -64,6 +64,8 @@
         )
         is_silent = outcome is StartOutcome.UNKNOWN and task.has_unknown_outcome
         if is_silent or outcome in UNRECEIVED_OUTCOMES:
+            if not worker.is_suspect:
+                self._state.worker_health.record_unstarted(worker.id, event.now)
             worker.is_suspect = True
         if outcome is StartOutcome.STALE_RUN:
             task.barred_at = event.now
@@ -105,6 +107,8 @@
         self, task: Task, worker: Worker, event: StartAnswered
     ) -> None:
         if event.outcome is StartOutcome.UNHEALTHY:
+            if event.now >= worker.quarantined_until:
+                self._state.worker_health.record_unstarted(worker.id, event.now)
             worker.quarantined_until = event.now + QUARANTINE_S / 4
         if event.outcome is StartOutcome.BAD_TICKET:
             advice = self._state.advice_requests.find(task.step.id)
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/placement.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/placement.py
@@ -8,6 +8,13 @@
 
 from .sharing import is_assigned_to_other_kind
 from .speed import SLOW_THRESHOLD
+from .worker_health import (
+    choose_speed_rank,
+    classify_slack,
+    has_doubts,
+    has_speed_groups,
+    select_gang_workers,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -48,14 +55,29 @@
 
     :returns: the tasks, each with its worker; empty if they don't all fit
     """
+    groups = [workers]
     if step.spec.same_rack:
-        for rack in sorted({_rack(worker) for worker in workers}):
-            in_rack = [worker for worker in workers if _rack(worker) == rack]
-            placed = place_tasks(step, tasks, in_rack)
-            if len(placed) == len(tasks):
-                return placed
-    placed = place_tasks(step, tasks, workers)
-    return placed if len(placed) == len(tasks) else []
+        by_rack: dict[str, list[Worker]] = {}
+        for worker in workers:
+            by_rack.setdefault(_rack(worker), []).append(worker)
+        racks = [by_rack[rack] for rack in sorted(by_rack)]
+        trusted = []
+        if has_doubts(workers):
+            trusted = [[w for w in rack if not w.doubt] for rack in racks]
+        groups = [*trusted, *racks, workers]
+    for group in groups:
+        placed = place_tasks(step, tasks, _select_alike(step, len(tasks), group))
+        if len(placed) == len(tasks):
+            return placed
+    return []
+
+
+def _select_alike(step: StepRun, needed: int, workers: list[Worker]) -> list[Worker]:
+    """Return the workers for the members of a gang: all of them if they are alike."""
+    if not has_doubts(workers) and not has_speed_groups(workers):
+        return workers
+    counts = count_fitting_tasks(step, workers)
+    return select_gang_workers(classify_slack(step), workers, counts, needed)
 
 
 def _rack(worker: Worker) -> str:
@@ -96,6 +118,9 @@
         workers = list(workers)
         self._step = step
         self._preferred_rack = _find_preferred_rack(step, workers)
+        self._urgency = classify_slack(step)
+        self._is_short = step.spec.estimate_s < SHORT_TASK_S
+        self._uses_speed_groups = not step.spec.lasting and has_speed_groups(workers)
         candidates: list[_Candidate] = []
         counts = count_fitting_tasks(step, workers)
         for number, (worker, count) in enumerate(zip(workers, counts, strict=True)):
@@ -131,13 +156,21 @@
         )
         fill = -count if spec.lasting else count
         is_slow = worker.slowness >= SLOW_THRESHOLD
-        slowness = round(worker.slowness, 1) if spec.estimate_s < SHORT_TASK_S else 0.0
+        slowness, later_slowness = 0.0, 0
+        if self._uses_speed_groups:
+            slowness, later_slowness = choose_speed_rank(
+                self._urgency, self._is_short, worker
+            )
+        elif self._is_short:
+            slowness = round(worker.slowness, 1)
         is_for_other_kind = is_assigned_to_other_kind(self._step, worker)
         return (
             is_slow,
+            worker.doubt,
             is_in_other_rack,
             is_for_other_kind,
             worker.consecutive_failures,
             slowness,
             fill,
+            later_slowness,
         )
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
@@ -190,6 +190,7 @@
         state = self.state
         if state.needs_pass and now >= self._pass_due:
             state.needs_pass = False
+            state.worker_health.update(state.worker_by_id, now)
             self._scheduler.run_pass(now)
             pause_s = (
                 PASS_INTERVAL_S + PASS_PER_STEP_S * self._scheduler.considered_steps
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/reconciler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/reconciler.py
@@ -151,6 +151,7 @@
                 self._requeue_from_predecessors(worker, event)
             else:
                 self._state.lose_contact(worker, event.now)
+                self._state.worker_health.record_restart(worker, event.now)
             worker.incarnation = event.incarnation
             self._crash_handler.forget_losses(worker)
             worker.cursor = 0
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/run_end_handler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/run_end_handler.py
@@ -60,6 +60,7 @@
             task.checkpoint = run_end.checkpoint
         if run_end.kind is EndKind.DONE and not task.step.spec.lasting:
             worker.consecutive_failures = 0
+            self._state.worker_health.record_done(worker.id, task.confirmed_at, now)
             self._record_run_time(task, worker, now)
             self._state.release(task)
             self._complete(task, now)
@@ -86,6 +87,9 @@
         took_s = now - task.confirmed_at
         self._state.run_times.record(queue, spec.estimate_s, took_s)
         if not spec.gang:
+            if spec.estimate_s > 0:
+                ratio = took_s / spec.estimate_s
+                task.step.ratio_by_run.append((worker.id, ratio))
             speeds = self._state.worker_speeds
             speeds.record(worker.id, queue, spec.estimate_s, took_s, now)
 
@@ -145,6 +149,8 @@
                 member.state = TaskState.DONE
                 step.done += 1
         self._state.store_occurrence(step.occurrence)
+        if step.is_done:
+            self._state.worker_health.record_step(step)
         if not step.is_done or step.occurrence.job.is_over:
             return
         self._state.close_step(step)
@@ -156,6 +162,7 @@
     def _count_failure(self, task: Task, worker: Worker, now: float) -> None:
         if not task.failed_on:
             worker.consecutive_failures += 1
+            self._state.worker_health.record_failed(worker.id, now)
         task.failed_on.add(worker.id)
         if worker.consecutive_failures >= QUARANTINE_AFTER_FAILURES:
             worker.quarantined_until = now + QUARANTINE_S
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/scheduler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/scheduler.py
@@ -156,6 +156,7 @@
             queue = self._state.queue_by_name.get(step.occurrence.job.spec.queue)
             if queue is not None:
                 rank = self._order.rank(step, queue, self._state.wall_ms)
+                step.slack_s = step.latest_start_s - self._state.wall_ms / 1000
                 rows.append((rank, step, queue))
         rows.sort(key=lambda row: (row[0], row[1].id))
         return rows
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/start_dispatcher.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/start_dispatcher.py
@@ -126,6 +126,9 @@
             run=task.run,
             on=worker.id,
             life=worker.incarnation,
+            speed_group=worker.speed_group,
+            doubt=worker.doubt,
+            slack_s=round(task.step.slack_s, 2),
         )
         state.effects.append(
             Start(
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/state.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/state.py
@@ -16,6 +16,7 @@
 from .run_times import RunTimes
 from .shares import SubmissionShares
 from .speed import WorkerSpeeds
+from .worker_health import WorkerHealth
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -83,6 +84,7 @@
         """Tasks under which workers were lost, unless their jobs are over."""
         self.advice_requests = AdviceRequests()
         self.worker_speeds = WorkerSpeeds()
+        self.worker_health = WorkerHealth(self.note)
         self.run_times = RunTimes()
         self.shares = SubmissionShares()
         self.batches = BatchQueue()
@@ -140,6 +142,7 @@
             now,
         )
         worker.loss = loss
+        self.worker_health.record_silence(worker, now)
         self.recent_losses = [
             other
             for other in self.recent_losses
