--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/worker_health.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/worker_health.py
@@ -41,9 +41,9 @@
 BAD_FAILURE_RATE = 0.5
 """Failure rate of the bad workers that failed runs are tested for."""
 
-FAILURE_EVIDENCE_UNIT = 4.0
-"""Log likelihood ratio of a bad worker that counts as evidence of 1: about the odds of
-50 to 1 that one worker in fifty is bad."""
+FAILURE_EVIDENCE_UNIT = 5.0
+"""Log likelihood ratio of a bad worker that counts as evidence of 1, about 150 to 1.
+With 4.0, two failures within 2 s are enough, which occur by chance in a busy fleet."""
 
 MAX_FAILURE_RATIO = 16.0
 """Bound on the log likelihood ratio, so that it decays within seconds."""
