--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
@@ -156,6 +156,9 @@
     :param past_use_shift_s: seconds by which the past usage of the client account
         delayed the step in the last ranking; negative if it is preferred
     :param is_shift_noted: whether the log has a line about the shift
+    :param ratio_by_run: worker of each run that was observed from start to end, with
+        the ratio of the run time to the declared one
+    :param slack_s: seconds until the latest start, as of the latest scheduling pass
     """
 
     id: StepId
@@ -173,6 +176,8 @@
     latest_start_s: float = 0.0
     past_use_shift_s: float = 0.0
     is_shift_noted: bool = False
+    ratio_by_run: list[tuple[str, float]] = field(default_factory=list)
+    slack_s: float = 0.0
 
     @property
     def is_done(self) -> bool:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
@@ -250,6 +250,7 @@
         state = self.state
         if state.needs_pass and now >= self._pass_due:
             state.needs_pass = False
+            state.worker_health.update(state.worker_by_id, now)
             self._scheduler.run_pass(now)
             note_shifted_steps(state, self._scheduler.reason_by_step)
             pause_s = (
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/state.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/state.py
@@ -19,6 +19,7 @@
 from .run_times import RunTimes
 from .shares import SubmissionShares
 from .speed import WorkerSpeeds
+from .worker_health import WorkerHealth
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -91,6 +92,7 @@
         """Tasks under which workers were lost, unless their jobs are over."""
         self.advice_requests = AdviceRequests()
         self.worker_speeds = WorkerSpeeds()
+        self.worker_health = WorkerHealth(self.note)
         self.run_times = RunTimes()
         self.placed_work = PlacedWork()
         self.shares = SubmissionShares()
@@ -152,6 +154,7 @@
             now,
         )
         worker.loss = loss
+        self.worker_health.record_silence(worker, now)
         self.recent_losses = [
             other
             for other in self.recent_losses
