Refuse stored run times that predictions can't use

A record with an infinite number of runs raised OverflowError in the load of every planner, and one with NaN or very large means loaded and then raised or misled each ranking.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/run_times.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/run_times.py
@@ -21,6 +21,10 @@
 RECORD_KEY = "learned.run_times"
 """Key of the stored averages."""
 
+MAX_STORED_LOG = 50.0
+"""Bound on stored logarithms and squared errors: one odd value would otherwise raise in
+every prediction, and so stop every planner that loads it."""
+
 RECORD_FORMAT = 1
 """Version of the encoding of the stored averages."""
 
@@ -44,6 +48,18 @@
     declared_square_error: float = 0.04
     runs: int = 0
 
+    def check(self) -> None:
+        """Check values that were stored.
+
+        :raises ValueError: if predictions from them could fail
+        """
+        logs = (self.mean_log_s, self.mean_log_ratio)
+        errors = (self.mean_square_error, self.declared_square_error)
+        if not all(abs(value) <= MAX_STORED_LOG for value in logs):
+            raise ValueError("a mean is out of range")
+        if not all(0 <= value <= MAX_STORED_LOG for value in errors) or self.runs < 1:
+            raise ValueError("an error or a number of runs is out of range")
+
 
 class RunTimes:
     """Predicts run times from declared ones and from earlier runs of the queue.
@@ -71,14 +87,17 @@
             version, rows = msgpack.unpackb(value)
             if version != RECORD_FORMAT:
                 raise ValueError(f"run times of format {version} are not supported")
-            self._times_by_queue = {
+            times_by_queue = {
                 str(name): _QueueTimes(
                     float(log_s), float(ratio), float(error), float(declared), int(runs)
                 )
                 for name, (log_s, ratio, error, declared, runs) in rows.items()
             }
-        except (TypeError, AttributeError) as error:
+            for times in times_by_queue.values():
+                times.check()
+        except (TypeError, AttributeError, OverflowError) as error:
             raise ValueError(f"invalid run times: {error}") from error
+        self._times_by_queue = times_by_queue
 
     def record(self, queue: str, declared_s: float, took_s: float) -> None:
         """Update the averages of a queue with a run that is done."""
--- a/tests/planner/test_run_times.py
+++ b/tests/planner/test_run_times.py
@@ -6,6 +6,7 @@
 import random
 import unittest
 
+import msgpack
 from jacinthloom_core.planner.run_times import RunTimes
 
 
@@ -67,6 +68,22 @@
             with self.subTest(value=value), self.assertRaises(ValueError):
                 RunTimes().load(value)
 
+    # Guards against a record that loads and then raises in every scheduling pass.
+    def test_values_that_predictions_cannot_use_are_refused(self) -> None:
+        nan, inf = float("nan"), float("inf")
+        for position, values in enumerate(
+            ((nan, inf, 1e9), (nan, 1e9), (nan, -1.0), (nan, inf), (-1, 0, inf))
+        ):
+            for value in values:
+                row = [0.5, 0.1, 0.2, 0.3, 9]
+                row[position] = value
+                record = bytes(msgpack.packb([1, {"rebuilds": row}]))
+                with self.subTest(row=row):
+                    times = RunTimes()
+                    with self.assertRaises(ValueError):
+                        times.load(record)
+                    self.assertEqual(times.predict("rebuilds", 3.0), 3.0)
+
 
 if __name__ == "__main__":
     unittest.main()
