Give the planners' emulator preemption and checkpointing steps

Scenarios had no settings for the cost of checkpoints and no steps that write them, so that preemption was not exercised under faults. Scenario.checkpoint_costs is off by default and draws from a random generator of its own, so existing seeds are unchanged.

--- a/testkit/planning/world.py
+++ b/testkit/planning/world.py
@@ -4,7 +4,7 @@
 
 import zlib
 from collections import Counter, deque
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -14,6 +14,7 @@
 from jacinthloom_core.planner.events import StartOutcome
 from jacinthloom_core.planner.fleet import WorkerEntry
 from jacinthloom_core.planner.planner import TICK_S, Planner
+from jacinthloom_core.planner.preemption import CheckpointCosts
 from jacinthloom_core.planner.rules import AdvicePolicy, ClientAccount, Queue, Rules
 from jacinthloom_core.planner.specs import JobSpec, StepSpec
 from jacinthloom_core.planner.state import PlannerSettings
@@ -41,6 +42,8 @@
 CLIENT_ACCOUNT_LIMIT = 3_000
 """Limit of each client account, in millicores."""
 TICKET_VALIDITY_S = 2.0
+CHECKPOINT_SHARE = 0.8
+"""Share of steps that write checkpoints, where a scenario has preemption."""
 SHRINK_GRACE_S = 4.5
 """Seconds after which starts must keep to a capacity that has shrunk."""
 ZONES = ("z0", "z1")
@@ -77,6 +80,8 @@
     :param min_outage_s: minimum seconds of such an outage
     :param long: share of jobs with tasks that run for up to 24 seconds
     :param past_use_half_life_s: half-life of past usage, in seconds; 0 to disable
+    :param checkpoint_costs: what a preemption costs; most steps but gangs write
+        checkpoints if it is known
     :param end_s: virtual time by which every accepted job must have ended
     """
 
@@ -101,6 +106,7 @@
     min_outage_s: float = LEASE_S
     long: float = 0.0
     past_use_half_life_s: float = 0.0
+    checkpoint_costs: CheckpointCosts = field(default_factory=CheckpointCosts)
     end_s: float = SCENARIO_END_S
 
 
@@ -145,6 +151,7 @@
             LEASE_S,
             120.0,
             predecessor_s=self.claim.lease_authority.predecessor_s,
+            checkpoint_costs=world.scenario.checkpoint_costs,
             past_use_half_life_s=world.scenario.past_use_half_life_s,
         )
         self.planner = world.make_planner(settings)
@@ -216,6 +223,7 @@
         self._timed_random = Random(f"timed {scenario.seed}")
         self._change_random = Random(f"change {scenario.seed}")
         self._outage_random = Random(f"outage {scenario.seed}")
+        self._checkpoint_random = Random(f"checkpoint {scenario.seed}")
         self.claims = Claims(self, scenario.seed, ZONES)
         self.zone_cuts = ZoneCuts(self, scenario.seed, ZONES, scenario.zone_cuts)
         self.recuts = Recuts(
@@ -392,8 +400,14 @@
             after=(0,) if number else (),
             gang=is_gang,
             most_per_worker=self.random.choice((0, 0, 2)) if number else 0,
+            checkpoints=not is_gang and self._draw_checkpoints(),
         )
 
+    def _draw_checkpoints(self) -> bool:
+        if not self.scenario.checkpoint_costs.interval_s:
+            return False
+        return self._checkpoint_random.random() < CHECKPOINT_SHARE
+
     def _submit(self, spec: JobSpec, attempts: int) -> None:
         self._unrefused_submissions[spec.id] += 1
         self.checker.refused.discard(spec.id)
