Bound preemption, and keep it to shares and reservations

A choice of runs went through the tasks of all permitted workers in every pass for every waiting gang. It is now made for two gangs a pass, on 400 workers at most, and not repeated within 0.5 s of a failure. Holds were kept on workers that had left, and without end after the clock jumped back; runs were stopped again and again for a gang that never started, and more of them than it needed. Gangs beyond the share of their account stopped runs of accounts within theirs, and holds took capacity reserved for a gang ahead.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/preemption.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/preemption.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import heapq
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -39,8 +40,23 @@
 advice, and the scheduling pass that follows."""
 
 MAX_STOPPING_SHARE = 0.15
-"""Largest share of the processors of a pool that may be held for gangs at a time: held
-capacity is idle until the last run on it has stopped."""
+"""Largest share of the processors of a pool whose runs may be stopped for gangs at a
+time: that capacity is idle until the last of them has stopped."""
+
+MAX_UNUSED_HOLDS = 3
+"""Maximum number of times that capacity is held for a gang which does not start, for
+want of a ticket or of its client account's limit, or because a worker is lost."""
+
+RETRY_S = 0.5
+"""Seconds until runs are chosen again for a gang that still did not fit."""
+
+MAX_CHOICES_PER_PASS = 2
+"""Maximum number of gangs for which one scheduling pass chooses runs to stop. The
+others follow, as a gang for which that fails is not tried again for ``RETRY_S``."""
+
+MAX_WORKERS = 400
+"""Maximum number of workers that are considered for one gang, which bounds the time
+that the choice takes in the largest fleets."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,15 +85,35 @@
 
 @dataclass(frozen=True, slots=True)
 class _Hold:
-    """Capacity of a worker that is kept for a gang.
+    """Capacity of workers that is kept for a gang.
 
+    :param workers: names of the workers
     :param processors: processors of the runs that are stopped, in millicores
     """
 
     step: StepId
     service: str
+    workers: tuple[str, ...]
     processors: int
-    until: float
+    began_at: float
+
+    def is_expired(self, now: float) -> bool:
+        """Whether the hold took too long, or the clock has jumped back."""
+        return not 0 <= now - self.began_at < HOLD_S
+
+
+@dataclass(slots=True)
+class _Attempts:
+    """Earlier attempts to make room for a gang.
+
+    :param unused_holds: number of holds that ended before the gang was placed
+    :param failed_at: time of the latest choice that failed
+    :param obstacle: why it failed
+    """
+
+    unused_holds: int = 0
+    failed_at: float = float("-inf")
+    obstacle: str = ""
 
 
 @dataclass(slots=True)
@@ -103,48 +139,93 @@
     def __init__(self, state: PlannerState) -> None:
         self._state = state
         self._hold_by_worker: dict[str, _Hold] = {}
+        self._hold_by_step: dict[StepId, _Hold] = {}
+        self._attempts_by_step: dict[StepId, _Attempts] = {}
+        self._choices_left = MAX_CHOICES_PER_PASS
 
-    def release_expired(self, now: float) -> None:
-        """Give up holds whose gang was placed or is over, or that took too long."""
+    def begin_pass(self, now: float) -> None:
+        """Release holds that serve no gang any more."""
+        self._choices_left = MAX_CHOICES_PER_PASS
         ready = self._state.ready_by_id
-        for worker, hold in list(self._hold_by_worker.items()):
+        for hold in list(self._hold_by_step.values()):
             step = ready.get(hold.step)
-            if now >= hold.until or step is None or not step.list_waiting():
-                del self._hold_by_worker[worker]
+            if step is None or not step.list_waiting():
+                self._release(hold)
+            elif hold.is_expired(now) or not self._are_usable(hold.workers, now):
+                self._release(hold)
+                self._get_attempts(step).unused_holds += 1
+        for step_id in [i for i in self._attempts_by_step if i not in ready]:
+            del self._attempts_by_step[step_id]
+
+    def _are_usable(self, workers: tuple[str, ...], now: float) -> bool:
+        known = self._state.worker_by_id
+        return all(
+            name in known and self._state.is_usable(known[name], now)
+            for name in workers
+        )
+
+    def _release(self, hold: _Hold) -> None:
+        del self._hold_by_step[hold.step]
+        for worker in hold.workers:
+            del self._hold_by_worker[worker]
+
+    def _get_attempts(self, step: StepRun) -> _Attempts:
+        return self._attempts_by_step.setdefault(step.id, _Attempts())
 
     def may_use(self, step: StepRun, worker: Worker) -> bool:
         """Whether a step may be placed on a worker that may be held for another one."""
         hold = self._hold_by_worker.get(worker.id)
         return hold is None or hold.step == step.id
 
-    def has_holds(self, step: StepRun) -> bool:
-        """Whether capacity is held for a step."""
-        return any(hold.step == step.id for hold in self._hold_by_worker.values())
-
     def make_room(
         self, step: StepRun, queue: Queue, workers: list[Worker], now: float
     ) -> str:
         """Stop enough runs for a gang that fits on no set of workers.
 
-        :param workers: workers that are known to be permitted for the gang
+        :param workers: workers that are known to be permitted for the gang, without
+            those on which capacity is reserved for steps ahead of it
         :returns: why no capacity is held for the gang, or an empty string if it is
         """
-        if self.has_holds(step):
+        if step.id in self._hold_by_step:
             return ""
         if not self._state.settings.checkpoint_costs.interval_s:
             return "the cost of a checkpoint is unknown"
-        if self._compute_slack_s(step, STOP_S, 0.0) < 0:
+        if _compute_slack_s(self._state, step, STOP_S) < 0:
             return "it would miss its objective nevertheless"
+        attempts = self._get_attempts(step)
+        if attempts.unused_holds >= MAX_UNUSED_HOLDS:
+            return f"it did not start {MAX_UNUSED_HOLDS} times when it was made"
+        if 0 <= now - attempts.failed_at < RETRY_S:
+            return attempts.obstacle
+        if self._choices_left <= 0:
+            return "it is made for other gangs first"
+        self._choices_left -= 1
+        attempts.obstacle = self._stop_runs(step, queue, workers, now)
+        if attempts.obstacle:
+            attempts.failed_at = now
+        return attempts.obstacle
+
+    def _stop_runs(
+        self, step: StepRun, queue: Queue, workers: list[Worker], now: float
+    ) -> str:
+        """Choose runs and stop them.
+
+        :returns: why none are stopped, or an empty string
+        """
+        allowance = self._find_allowance(queue.service)
+        if allowance <= 0:
+            return "too many runs are being stopped for others"
         plans = self._choose_plans(step, queue, workers)
         if not plans:
             return f"too few runs may be stopped on {len(workers)} permitted workers"
-        stopped = sum(plan.processors for plan in plans)
-        if stopped > self._find_allowance(queue.service):
+        processors = sum(plan.processors for plan in plans)
+        if processors > allowance:
             return "too many runs are being stopped for others"
+        names = tuple(plan.worker.id for plan in plans)
+        hold = _Hold(step.id, queue.service, names, processors, now)
+        self._hold_by_step[step.id] = hold
+        self._hold_by_worker.update(dict.fromkeys(names, hold))
         for plan in plans:
-            self._hold_by_worker[plan.worker.id] = _Hold(
-                step.id, queue.service, plan.processors, now + HOLD_S
-            )
             for task in plan.victims:
                 self._stop(task, step)
         return ""
@@ -158,7 +239,7 @@
         )
         held = sum(
             hold.processors
-            for hold in self._hold_by_worker.values()
+            for hold in self._hold_by_step.values()
             if hold.service == service
         )
         return int(total * MAX_STOPPING_SHARE) - held
@@ -170,81 +251,31 @@
 
         :returns: plans for different workers; empty if the gang does not fit
         """
+        candidates = _Candidates(self._state, step, queue)
+        spec = step.spec
+        most = min(spec.most_per_worker or spec.count, spec.count)
+        free = [worker for worker in workers if worker.id not in self._hold_by_worker]
+        if len(free) > MAX_WORKERS:
+            free = heapq.nlargest(
+                MAX_WORKERS, free, lambda w: (w.free_processors, w.id)
+            )
         plans = [
             plan
-            for worker in workers
-            if worker.id not in self._hold_by_worker
-            and (plan := self._plan_worker(step, queue, worker)).members
+            for worker in free
+            if (plan := _plan_worker(candidates, worker, most)).members
         ]
         plans.sort(key=lambda plan: (plan.processors / plan.members, plan.worker.id))
         chosen: list[_Plan] = []
-        missing = step.spec.count
+        missing = spec.count
         for plan in plans:
             if missing <= 0:
                 break
+            if plan.members > missing:
+                plan = _plan_worker(candidates, plan.worker, missing)
             chosen.append(plan)
             missing -= plan.members
         return chosen if missing <= 0 else []
 
-    def _plan_worker(self, step: StepRun, queue: Queue, worker: Worker) -> _Plan:
-        """Return the runs to stop for as many members as the worker can take."""
-        spec = step.spec
-        most = spec.most_per_worker or spec.count
-        candidates = [
-            (slack_s, task)
-            for task in worker.task_by_id.values()
-            if (slack_s := self._find_slack_s(task, queue)) is not None and slack_s >= 0
-        ]
-        candidates.sort(key=lambda row: (-row[0], row[1].id))
-        fitting = worker.count_fitting(spec.size, spec.fills)
-        victims: list[Task] = []
-        best = 0
-        for _, task in candidates:
-            worker.release(task.step.spec.size, task.step.spec.fills)
-            victims.append(task)
-            count = worker.count_fitting(spec.size, spec.fills)
-            if count > fitting:
-                fitting, best = count, len(victims)
-        for task in victims:
-            worker.reserve(task.step.spec.size, task.step.spec.fills)
-        return _Plan(worker, min(most, fitting), victims[:best])
-
-    def _find_slack_s(self, task: Task, queue: Queue) -> float | None:
-        """Return how much earlier than necessary a task would end after a preemption.
-
-        :returns: seconds, or None if the task must not be preempted
-        """
-        spec, state = task.step.spec, self._state
-        job = task.step.occurrence.job
-        own_queue = state.queue_by_name.get(job.spec.queue)
-        if own_queue is None or own_queue.priority <= queue.priority:
-            return None
-        if not spec.checkpoints or spec.gang or spec.lasting or job.is_over:
-            return None
-        if task.state is not TaskState.RUNNING or task.is_stopping:
-            return None
-        if task.preemptions >= MAX_PREEMPTIONS or task.crashes:
-            return None
-        run_s = state.run_times.predict(job.spec.queue, spec.estimate_s)
-        costs = state.settings.checkpoint_costs
-        if not costs.allow_preemption(run_s):
-            return None
-        done_s = run_s * task.percent / 100
-        delay_s = STOP_S + RESTART_S + costs.expected_loss_s
-        return self._compute_slack_s(task.step, delay_s, done_s)
-
-    def _compute_slack_s(self, step: StepRun, delay_s: float, done_s: float) -> float:
-        """Return the seconds that are left if the rest of a job starts after a delay.
-
-        :param done_s: seconds of the step's work that are done
-        """
-        job = step.occurrence.job
-        path_s = estimate_remaining_path_s(
-            job, step.id.step, self._state.run_times.predict
-        )
-        end_s = self._state.wall_ms / 1000 + delay_s + path_s - done_s
-        return step.due_s + step.objective_s - end_s
-
     def _stop(self, task: Task, gang: StepRun) -> None:
         state = self._state
         task.preemptions += 1
@@ -258,3 +289,101 @@
             loss_s=round(state.settings.checkpoint_costs.expected_loss_s, 2),
         )
         state.stop(task)
+
+
+class _Candidates:
+    """Runs that may be stopped for a gang."""
+
+    def __init__(self, state: PlannerState, gang: StepRun, queue: Queue) -> None:
+        self._state = state
+        self.gang = gang
+        self._queue = queue
+        self._row_by_step: dict[StepId, tuple[float, float] | None] = {}
+        """Slack after a stop at the start of a run and expected run time, in seconds;
+        None for steps of which no run may be stopped."""
+
+    def list_on(self, worker: Worker) -> list[Task]:
+        """Return the runs of a worker that may be stopped, the least urgent first."""
+        rows = []
+        for task in worker.task_by_id.values():
+            if not task.step.spec.checkpoints or not _may_stop(task):
+                continue
+            row = self._find_row(task.step)
+            if row is None:
+                continue
+            slack_s = row[0] + row[1] * task.percent / 100
+            if slack_s >= 0:
+                rows.append((-slack_s, task.id, task))
+        rows.sort(key=lambda row: row[:2])
+        return [task for _, _, task in rows]
+
+    def _find_row(self, step: StepRun) -> tuple[float, float] | None:
+        if step.id not in self._row_by_step:
+            self._row_by_step[step.id] = self._compute_row(step)
+        return self._row_by_step[step.id]
+
+    def _compute_row(self, step: StepRun) -> tuple[float, float] | None:
+        spec, state = step.spec, self._state
+        job = step.occurrence.job
+        queue = state.queue_by_name.get(job.spec.queue)
+        if queue is None or queue.priority <= self._queue.priority:
+            return None
+        if spec.gang or spec.lasting or job.is_over:
+            return None
+        if self.gang.occurrence.job.is_beyond_share and not job.is_beyond_share:
+            return None  # it would pass over the shares of the client accounts
+        run_s = state.run_times.predict(job.spec.queue, spec.estimate_s)
+        costs = state.settings.checkpoint_costs
+        if not costs.allow_preemption(run_s):
+            return None
+        delay_s = STOP_S + RESTART_S + costs.expected_loss_s
+        return _compute_slack_s(state, step, delay_s), run_s
+
+
+def _may_stop(task: Task) -> bool:
+    """Whether a task's run may be stopped, by what has happened to it so far."""
+    return (
+        task.state is TaskState.RUNNING
+        and not task.is_stopping
+        and task.preemptions < MAX_PREEMPTIONS
+        and not task.crashes
+    )
+
+
+def _plan_worker(candidates: _Candidates, worker: Worker, most: int) -> _Plan:
+    """Return the runs to stop on a worker so that it takes members of the gang.
+
+    :param most: maximum number of members
+    """
+    spec = candidates.gang.spec
+    fitting = best_fitting = worker.count_fitting(spec.size, spec.fills)
+    stopped: list[Task] = []
+    best = 0
+    if fitting < most:
+        for task in candidates.list_on(worker):
+            worker.release(task.step.spec.size, task.step.spec.fills)
+            stopped.append(task)
+            fitting = worker.count_fitting(spec.size, spec.fills)
+            if fitting > best_fitting:
+                best_fitting, best = fitting, len(stopped)
+            if fitting >= most:
+                break
+    members = min(most, best_fitting)
+    needed: list[Task] = []
+    for number, task in reversed(list(enumerate(stopped))):
+        size, fills = task.step.spec.size, task.step.spec.fills
+        worker.reserve(size, fills)
+        if number < best and worker.count_fitting(spec.size, spec.fills) < members:
+            worker.release(size, fills)
+            needed.append(task)
+    for task in needed:
+        worker.reserve(task.step.spec.size, task.step.spec.fills)
+    return _Plan(worker, members, needed)
+
+
+def _compute_slack_s(state: PlannerState, step: StepRun, delay_s: float) -> float:
+    """Return the slack of a step, in seconds, if it starts after a delay."""
+    job = step.occurrence.job
+    path_s = estimate_remaining_path_s(job, step.id.step, state.run_times.predict)
+    end_s = state.wall_ms / 1000 + delay_s + path_s
+    return step.due_s + step.objective_s - end_s
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/reservations.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/reservations.py
@@ -48,11 +48,17 @@
 
     def __init__(self) -> None:
         self._reserved: list[tuple[Worker, Resources, bool]] = []
+        self._workers: set[str] = set()
 
     def reserve(self, worker: Worker, size: Resources, fills: bool = False) -> None:
         """Reserve the resources of one task on a worker."""
         worker.reserve(size, fills)
         self._reserved.append((worker, size, fills))
+        self._workers.add(worker.id)
+
+    def concern(self, worker: Worker) -> bool:
+        """Whether any capacity of a worker is reserved."""
+        return worker.id in self._workers
 
     def reserve_all(self, worker: Worker) -> None:
         """Reserve all free capacity of a worker."""
@@ -68,3 +74,4 @@
         for worker, size, fills in self._reserved:
             worker.release(size, fills)
         self._reserved.clear()
+        self._workers.clear()
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/scheduler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/scheduler.py
@@ -117,7 +117,7 @@
         self.considered_steps = 0
         self._drained_gangs = 0
         self._isolation.release_hosts(now)
-        self._preemption.release_expired(now)
+        self._preemption.begin_pass(now)
         usable = self._group_usable(now)
         self._busy_services = {
             service for service, workers in usable.items() if _is_busy(workers)
@@ -325,8 +325,14 @@
             return
         self.reason_by_step[step.id] = "not enough free capacity for the whole gang"
         if not suspects:
+            # Capacity that is reserved for a step ahead is not made part of a hold.
+            permitted = [
+                worker
+                for worker in context.select_permitted(possible)
+                if not self._reservations.concern(worker)
+            ]
             obstacle = self._preemption.make_room(
-                step, context.queue, context.select_permitted(possible), context.now
+                step, context.queue, permitted, context.now
             )
             if not obstacle:
                 self.reason_by_step[step.id] = "runs are being stopped to make room"
