Reserve no held worker for suspects at the end of a pass

A pass reserves an idle worker for tasks that may have crashed theirs after all gangs were considered, from a list made before. A worker that a gang held in the same pass could then be used by neither until one of the two ended. The new test fails before, with 8 candidates instead of 6, and passes now.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/scheduler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/scheduler.py
@@ -127,7 +127,9 @@
             if step.spec.gang and rank[0] not in HOPELESS_LEVELS:
                 self._reserve_limit(step, now)
         for step, workers in self._waiting_suspects:
-            self._isolation.reserve_idle(step, workers, now)
+            # Some may have been held for a gang since the step was considered.
+            free = [w for w in workers if self._preemption.may_use(step, w)]
+            self._isolation.reserve_idle(step, free, now)
         self._waiting_suspects.clear()
         self._reservations.release()
         for client_account, size, count in self._reserved_limits:
--- a/tests/planner/test_preemption.py
+++ b/tests/planner/test_preemption.py
@@ -257,6 +257,26 @@
         self.advance(0.1)
         self.assert_nothing_is_stopped(replace(GANG, size=Resources(700, 100)))
 
+    # Guards against an idle worker that is held for a gang and, in the same pass,
+    # reserved for tasks that may have crashed their worker: neither could use it.
+    def test_held_worker_is_not_reserved_for_suspects(self) -> None:
+        for _ in range(WORKERS - 1):
+            self.submit("small", SMALL)
+        self.advance(0.3)
+        workers = list(self.planner.state.worker_by_id.values())
+        idle = [worker.id for worker in workers if not worker.task_by_id]
+        self.assertEqual(len(idle), 1)
+        scheduler = self.planner._scheduler
+        suspect = next(iter(self.planner.state.ready_by_id.values()))
+        scheduler._waiting_suspects.append((suspect, workers))
+        with mock.patch.object(scheduler._isolation, "reserve_idle") as reserve_idle:
+            self.submit("gangs", replace(GANG, count=2))
+            self.advance(0.05, polls=False)
+        self.assertIn(idle[0], self.preemption._hold_by_worker)
+        candidates = [worker.id for worker in reserve_idle.call_args.args[1]]
+        self.assertEqual(len(candidates), WORKERS - 2)
+        self.assertNotIn(idle[0], candidates)
+
     # Guards against passes that go through all running tasks for each waiting gang.
     def test_choices_that_fail_are_not_repeated_at_once(self) -> None:
         self.fill()
