Search ten further seeds for the mutants of lease authority

Cause: the merged parts draw other schedules from the same seeds, and none of 100 to 119 detects predecessor_not_awaited any more; 126 does. Change: the range goes to 129, so a mutant has to be detected as before, and no seed was taken out. Measured: the unmodified planner passes 120 to 129.

--- a/tests/planner/test_mutations.py
+++ b/tests/planner/test_mutations.py
@@ -22,7 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-CUT_SEEDS = range(100, 120)
+CUT_SEEDS = range(100, 130)
 """Seeds of the simulated scenarios in which zones are cut off."""
 
 RECUT_SEEDS = range(70, 80)
