Let stand-in workers save checkpoints and run gangs as a whole

Cause: stand-in workers listed no checkpoint, ended members of a gang one by one, and the settings of hosted processes gave no cost of a checkpoint, so real processes preempted nothing. Change: runs save a checkpoint every 0.2 s and resume from it, gangs begin and end together, settings files have `bounds.checkpointS` and `bounds.restoreMs`, and past usage is enabled.

--- a/testkit/hosted/deployment.py
+++ b/testkit/hosted/deployment.py
@@ -20,7 +20,7 @@
 from .log_store import LogStoreStandIn
 from .network import NetworkStandIn
 from .proxy import LinkProxy
-from .worker import WorkerStandIn
+from .worker import CHECKPOINT_S, RESTORE_S, WorkerStandIn
 
 SERVICE = "pool"
 KEY = "key-of-team"
@@ -35,6 +35,9 @@
 START_TIMEOUT_S = 20.0
 """Seconds within which processes are ready and one of them has become the planner."""
 
+PAST_USE_HALF_LIFE_S = 7200
+"""Half-life of past usage in seconds, as in ``deploy/system.toml``."""
+
 POLL_INTERVAL_S = 0.1
 PREFIX = "/checks/"
 
@@ -48,6 +51,8 @@
 platform.address={store}
 bounds.holdMaxMs=10000
 bounds.graceS=3
+bounds.checkpointS={checkpoint_s}
+bounds.restoreMs={restore_ms:.0f}
 """
 
 
@@ -131,6 +136,8 @@
                 ready=READY_PORT,
                 peer=PEER_PORT,
                 store=address,
+                checkpoint_s=CHECKPOINT_S,
+                restore_ms=1000 * RESTORE_S,
             )
             path = Path(self._folder.name) / f"{ip}.conf"
             path.write_text(text)
@@ -164,7 +171,8 @@
         """Start an entry process."""
         log = Path(self._folder.name) / f"{ip}.log"
         environment = os.environ | {
-            "JACINTHLOOM_NODE_FILE": str(self._settings_by_ip[ip])
+            "JACINTHLOOM_NODE_FILE": str(self._settings_by_ip[ip]),
+            "JACINTHLOOM_PAST_USE_HALF_LIFE_S": str(PAST_USE_HALF_LIFE_S),
         }
         if self.packages:
             environment["PYTHONPATH"] = self.packages
--- a/testkit/hosted/log_store.py
+++ b/testkit/hosted/log_store.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import struct
+from collections import Counter
 from dataclasses import dataclass, field
 
 from jacinthloom_wire.http_server import HttpServer, Request, ServerResponse
@@ -38,6 +39,7 @@
     :ivar responses_to_drop: number of appends to carry out while closing the
         connection instead of responding
     :ivar appends: number of append requests received
+    :ivar served_by_key: number of times that the newest value of a key was read
     """
 
     def __init__(self) -> None:
@@ -48,6 +50,7 @@
         self.latency_s = 0.0
         self.responses_to_drop = 0
         self.appends = 0
+        self.served_by_key: Counter[str] = Counter()
 
     async def start(self) -> str:
         """Start listening and return the address."""
@@ -174,6 +177,7 @@
             }
             for key in keys[:PAGE_SIZE]
         ]
+        self.served_by_key.update(keys[:PAGE_SIZE])
         more = len(keys) > PAGE_SIZE
         body = {"items": items, "hasMore": more, "end": topic.end}
         return ServerResponse.from_json(200, body)
--- a/testkit/hosted/worker.py
+++ b/testkit/hosted/worker.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import time
+from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -23,6 +24,15 @@
 STOP_S = 0.05
 """Seconds from a stop to the end of the run."""
 
+CHECKPOINT_S = 0.2
+"""Seconds of work between two checkpoints."""
+
+RESTORE_S = 0.05
+"""Seconds that a resumed run takes to reach its checkpoint."""
+
+GANG_TIMEOUT_S = 3.0
+"""Seconds that a member of a gang waits for the other members."""
+
 
 FIRST_AGE_S = 60.0
 """Age of a worker when it is first started, in seconds: its clock is ahead of that of
@@ -40,6 +50,9 @@
     :param kind: how it ended; empty while it runs
     :param number: number of its end in this incarnation
     :param noted_at: time at which a cursor reached its end
+    :param resumed_s: seconds of work that its first checkpoint holds
+    :param work_began_at: time at which its work began; members of a gang wait for all
+    :param checkpoint: latest checkpoint when it ended: seconds of work; may be empty
     """
 
     task: str
@@ -53,8 +66,48 @@
     ended_at: float = 0.0
     number: int = 0
     noted_at: float = 0.0
+    resumed_s: float = 0.0
+    work_began_at: float = 0.0
+    checkpoint: str = ""
     timer: asyncio.TimerHandle | None = field(default=None, repr=False)
 
+    @property
+    def done_s(self) -> float:
+        """Seconds of work that are done, those before a checkpoint included."""
+        if not self.work_began_at:
+            return self.resumed_s
+        restore_s = RESTORE_S if self.resumed_s else 0.0
+        worked_s = time.monotonic() - self.work_began_at - restore_s
+        return self.resumed_s + max(0.0, worked_s)
+
+
+class GangRegistry:
+    """Members of gangs on all workers, which begin and end together.
+
+    :param find_size: number of members by the payload of a task; 0 if it has no gang
+    """
+
+    def __init__(self, find_size: Callable[[str], int] = lambda payload: 0) -> None:
+        self._find_size = find_size
+        self._present_by_gang: dict[tuple[str, int], list[Run]] = defaultdict(list)
+
+    @staticmethod
+    def _get_key(run: Run) -> tuple[str, int]:
+        return run.task.rpartition(".")[0], run.run
+
+    def join(self, run: Run) -> list[Run]:
+        """Add a run; return the runs that begin to work now."""
+        size = self._find_size(run.payload)
+        if not size:
+            return [run]
+        present = self._present_by_gang[self._get_key(run)]
+        present.append(run)
+        return present if len(present) == size else []
+
+    def leave(self, run: Run) -> list[Run]:
+        """Remove the gang of a run that has ended; return its members."""
+        return self._present_by_gang.pop(self._get_key(run), [])
+
 
 class WorkerStandIn:
     """One worker, which accepts every valid start regardless of its capacity.
@@ -74,15 +127,24 @@
         run_s: float = RUN_S,
         zone: str = "z",
         labels: tuple[str, ...] = ("a", "r1-1"),
-        choose_run_s: Callable[[str], float] | None = None,
+        choose_run_s: Callable[[Run], float] | None = None,
+        saves_checkpoints: Callable[[str], bool] = lambda payload: False,
+        gangs: GangRegistry | None = None,
     ) -> None:
+        """Create a worker.
+
+        :param saves_checkpoints: whether a task saves checkpoints, by its payload
+        :param gangs: members of gangs on all workers; none if there are no gangs
+        """
         self.id = name
         self.run_s = run_s
         self.zone = zone
         self.state = "ready"
         self.is_up = False
         self._labels = labels
-        self._choose_run_s = choose_run_s or (lambda task: self.run_s)
+        self._choose_run_s = choose_run_s or (lambda run: self.run_s)
+        self._saves_checkpoints = saves_checkpoints
+        self._gangs = gangs or GangRegistry()
         self.runs: list[Run] = []
         self.lapsed_at: list[float] = []
         self.renewals: list[tuple[float, int]] = []
@@ -90,6 +152,7 @@
         self.orders_to_delay = 0
         self.delay_s = 2.0
         self.mute_until = 0.0
+        self.capacity = {"cpu": 8000, "memMb": 8000, "gpu": 0}
         self.address = ""
         self.listed_address = ""
         """Address in the worker's entry, if it is reached through another one."""
@@ -131,7 +194,8 @@
         self.is_up = False
         self._life += 1
         for run in list(self._run_by_task.values()):
-            self._forget(run, "lost")
+            if not run.kind:  # the loss of another member may have ended it
+                self._forget(run, "lost")
         if self._lapse_timer is not None:
             self._lapse_timer.cancel()
         await self._server.close(0.0)
@@ -148,7 +212,7 @@
             "address": self.listed_address,
             "zone": self.zone,
             "state": self.state,
-            "capacity": {"cpu": 8000, "memMb": 8000, "gpu": 0},
+            "capacity": self.capacity,
             "labels": list(self._labels),
             "born": self.born,
         }
@@ -236,11 +300,29 @@
         run = Run(task, number, self, body["spec"], time.monotonic(), token, is_late)
         self._run_by_task[task] = run
         self._highest_run_by_task[task] = number
+        run.resumed_s = float(body.get("checkpoint") or 0.0)
         self.runs.append(run)
         loop = asyncio.get_running_loop()
-        run.timer = loop.call_later(self._choose_run_s(task), self._end, run, "done")
+        run.timer = loop.call_later(GANG_TIMEOUT_S, self._end, run, "alone")
+        for member in self._gangs.join(run):
+            member.worker.begin_work(member)
         return self._respond(200)
 
+    def begin_work(self, run: Run) -> None:
+        """Begin the work of a run, which may be resumed from a checkpoint."""
+        if run.timer is not None:
+            run.timer.cancel()
+        run.work_began_at = time.monotonic()
+        left_s = max(0.0, self._choose_run_s(run) - run.resumed_s)
+        left_s += RESTORE_S if run.resumed_s else 0.0
+        loop = asyncio.get_running_loop()
+        run.timer = loop.call_later(left_s, self._end, run, "done")
+
+    def _get_checkpoint(self, run: Run) -> str:
+        if not self._saves_checkpoints(run.payload) or run.done_s < CHECKPOINT_S:
+            return ""
+        return f"{int(run.done_s / CHECKPOINT_S) * CHECKPOINT_S:.1f}"
+
     def _on_stop(self, body: dict[str, Any], is_late: bool) -> ServerResponse:
         if self._is_fenced(body):
             return self._respond(409, reason="fence")
@@ -260,7 +342,10 @@
             run.timer.cancel()
         run.kind = kind
         run.ended_at = time.monotonic()
+        run.checkpoint = self._get_checkpoint(run)
         del self._run_by_task[run.task]
+        for member in self._gangs.leave(run):
+            member.worker._end(member, "done" if kind == "done" else "broken")
 
     def _end(self, run: Run, kind: str) -> None:
         if run.kind:
@@ -276,8 +361,7 @@
         self._end(self._run_by_task[task], "done")
 
     def _compute_percent(self, run: Run) -> int:
-        worked_s = time.monotonic() - run.began_at
-        return min(99, int(100 * worked_s / max(0.01, self._choose_run_s(run.task))))
+        return min(99, int(100 * run.done_s / max(0.01, self._choose_run_s(run))))
 
     async def _on_hold(self, body: dict[str, Any]) -> ServerResponse:
         self.hold_count += 1
@@ -296,8 +380,11 @@
             except TimeoutError:
                 pass
         running = [
-            [run.task, run.run, "", self._compute_percent(run)]
+            [run.task, run.run, self._get_checkpoint(run), self._compute_percent(run)]
             for run in self._run_by_task.values()
         ]
-        ends = [[run.number, run.task, run.run, run.kind, ""] for run in self._ends]
+        ends = [
+            [run.number, run.task, run.run, run.kind, run.checkpoint]
+            for run in self._ends
+        ]
         return self._respond(200, running=running, endedRuns=ends[:MAX_LISTED_ENDS])
