Bring about preemption and a shortage of workers in the soak

Cause: the soak had one queue of small tasks at a quarter of the capacity, so it met neither preemption nor refusals for a shortage, and nothing checked capacity. Change: gangs beside tasks with checkpoints, a client account that sends far more and twice the batches for 4 s; checks of the capacity at each start and of preempted tasks; counts of preempted and resumed runs, refusals for shortage and loads of `usage.past` and `learned.run_times`.

--- a/testkit/soak/__main__.py
+++ b/testkit/soak/__main__.py
@@ -6,8 +6,8 @@
 import asyncio
 import sys
 
-from .deployment import LONGEST_RUN_S
 from .soak import SoakSettings, run_soak
+from .workloads import LONGEST_RUN_S
 
 
 def main() -> int:
--- a/testkit/soak/checks.py
+++ b/testkit/soak/checks.py
@@ -45,6 +45,8 @@
         runs.sort(key=lambda run: run.began_at)
     return [
         *_check_runs(runs_by_task),
+        *_check_capacity(observations, runs_by_task),
+        *_check_preempted(observations, runs_by_task),
         *_check_jobs(observations, runs_by_task),
         *_check_places(observations, runs_by_task),
         *_check_outages(observations, runs_by_task),
@@ -89,6 +91,54 @@
     return violations
 
 
+def _check_capacity(
+    observations: Observations, runs_by_task: dict[str, list[Run]]
+) -> list[str]:
+    """Check that no start exceeds what the other runs leave of a worker's capacity."""
+    rows_by_worker: dict[str, list[tuple[float, int, int, int, Run]]] = defaultdict(
+        list
+    )
+    for task, runs in runs_by_task.items():
+        job_id, _, number, _ = task.split(".")
+        if job_id not in observations.job_by_id:
+            continue  # reported as UNASKED
+        step = observations.job_by_id[job_id].body["steps"][int(number)]
+        processors, memory = step["cpu"], step["memMb"]
+        for run in runs:
+            rows = rows_by_worker[run.worker.id]
+            rows.append((run.began_at, 1, processors, memory, run))
+            if run.ended_at:
+                rows.append((run.ended_at, 0, -processors, -memory, run))
+    violations = []
+    for rows in rows_by_worker.values():
+        used = {"cpu": 0, "memMb": 0}
+        for _, is_start, processors, memory, run in sorted(rows, key=lambda r: r[:2]):
+            used["cpu"] += processors
+            used["memMb"] += memory
+            capacity = run.worker.capacity
+            if is_start and any(used[name] > capacity[name] for name in used):
+                origin = observations.began_at
+                violations.append(f"CAPACITY: {used} with {_describe(run, origin)}")
+    return violations
+
+
+def _check_preempted(
+    observations: Observations, runs_by_task: dict[str, list[Run]]
+) -> list[str]:
+    """Check that preempted tasks are done in the end, unless their job is cancelled.
+
+    Jobs whose acceptance no client has seen are not waited for.
+    """
+    return [
+        f"PREEMPTED: {task} is never done"
+        for task in set(observations.preempted)
+        if (job := observations.job_by_id.get(task.partition(".")[0])) is not None
+        and job.accepted_at
+        and not job.cancel_sent_at
+        and not any(run.kind == "done" for run in runs_by_task.get(task, ()))
+    ]
+
+
 def _check_jobs(
     observations: Observations, runs_by_task: dict[str, list[Run]]
 ) -> list[str]:
--- a/testkit/soak/deployment.py
+++ b/testkit/soak/deployment.py
@@ -6,57 +6,68 @@
 import json
 import signal
 import time
-import zlib
 from typing import TYPE_CHECKING
 
 from ..hosted.deployment import KEY, PREFIX, SERVICE, Deployment
 from ..hosted.network import NetworkStandIn
-from ..hosted.worker import WorkerStandIn
+from ..hosted.worker import GangRegistry, WorkerStandIn
+from .workloads import (
+    LARGE_KEY,
+    LONGEST_RUN_S,
+    WORKLOAD_BY_NAME,
+    choose_run_s,
+    find_gang_size,
+    saves_checkpoints,
+)
 
 if TYPE_CHECKING:
     from .observations import Observations
 
 ZONES = ("z1", "z2", "z3")
 HOST = "desk.example"
-SHORTEST_RUN_S = 0.2
-LONGEST_RUN_S = 2.5
 
 STARTED_S = 1.0
 """Seconds for which a process that was started counts as disturbed, beside the time in
 which processes get in touch."""
 
 
-def choose_run_s(task: str, longest_s: float = LONGEST_RUN_S) -> float:
-    """Return how long the runs of a task take, by its name."""
-    share = zlib.crc32(task.encode()) % 1000 / 1000
-    return SHORTEST_RUN_S + share**3 * (longest_s - SHORTEST_RUN_S)
-
+def make_route(
+    name: str, prefix: str, priority: int = 0, target_ms: int = 250
+) -> dict[str, object]:
+    """Return a queue of the configuration.
 
-def make_route(name: str, prefix: str) -> dict[str, object]:
-    """Return a queue of the configuration."""
+    :param target_ms: target latency, in milliseconds
+    """
     return {
         "name": name,
         "host": HOST,
         "pathPrefix": prefix,
         "service": SERVICE,
-        "priority": 0,
+        "priority": priority,
         "maxAttempts": 2,
         "stretch": 1.5,
-        "targetLatencyMs": 250,
+        "targetLatencyMs": target_ms,
     }
 
 
 def make_configuration(
     version: int, routes: frozenset[int], keys: frozenset[int]
 ) -> dict[str, object]:
-    """Return a configuration with the base queue and key, and optional ones."""
+    """Return a configuration with the base queues and keys, and optional ones."""
     optional = [make_route(f"route-{n}", f"/route-{n}/") for n in sorted(routes)]
+    optional += [
+        make_route(work.name, work.prefix, work.priority, work.target_ms)
+        for work in WORKLOAD_BY_NAME.values()
+    ]
     api_keys = [KEY, *(f"key-{n}" for n in sorted(keys))]
     return {
         "version": version,
         "routes": [make_route("checks", PREFIX), *optional],
         "services": [{"name": SERVICE}],
-        "tenants": [{"name": "team", "apiKeys": api_keys, "weight": 50}],
+        "tenants": [
+            {"name": "team", "apiKeys": api_keys, "weight": 50},
+            {"name": "large", "apiKeys": [LARGE_KEY], "weight": 50},
+        ],
     }
 
 
@@ -73,12 +84,15 @@
         observations: Observations,
         longest_run_s: float = LONGEST_RUN_S,
     ) -> None:
+        gangs = GangRegistry(find_gang_size)
         stand_ins = [
             WorkerStandIn(
                 f"i-{number:04}",
                 zone=ZONES[number % len(ZONES)],
                 labels=("a", f"r{number % len(ZONES)}-{number // 24}"),
-                choose_run_s=lambda task: choose_run_s(task, longest_run_s),
+                choose_run_s=lambda run: choose_run_s(run, longest_run_s),
+                saves_checkpoints=saves_checkpoints,
+                gangs=gangs,
             )
             for number in range(workers)
         ]
--- a/testkit/soak/observations.py
+++ b/testkit/soak/observations.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from ..hosted.deployment import KEY, PREFIX
+
 CONTACT_S = 3.0
 """Seconds without a disturbance after which a process and the store count as calm."""
 
@@ -22,6 +24,8 @@
     :param body: the body as it was submitted
     :param unknown_attempts: submissions that were not answered
     :param states: time and state of each answer to a question for its state
+    :param prefix: path prefix of its queue
+    :param key: key of its client account
     """
 
     id: str
@@ -33,6 +37,8 @@
     cancel_sent_at: float = 0.0
     cancelled_at: float = 0.0
     states: list[tuple[float, str, str]] = field(default_factory=list)
+    prefix: str = PREFIX
+    key: str = KEY
 
     @property
     def is_refused(self) -> bool:
@@ -110,6 +116,9 @@
     """Scope, begin and end of each disturbance."""
 
     outages: list[Outage] = field(default_factory=list)
+    preempted: list[str] = field(default_factory=list)
+    """Tasks of which a run was stopped to make room for a gang."""
+
     harms: list[tuple[str, float, float]] = field(default_factory=list)
     """Worker, begin and end of each disturbance of a worker or of links to it."""
 
--- a/testkit/soak/soak.py
+++ b/testkit/soak/soak.py
@@ -9,12 +9,17 @@
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
+from typing import TYPE_CHECKING
 
 from .checks import find_violations
-from .deployment import LONGEST_RUN_S, STARTED_S, SoakDeployment
+from .deployment import STARTED_S, SoakDeployment
 from .faults import FaultInjector
 from .observations import CONTACT_S, Observations
 from .traffic import OPTIONAL_KEYS, OPTIONAL_ROUTES, Client, Operator
+from .workloads import BATCHES, GANGS, LARGE_KEY, LONGEST_RUN_S, SURGES
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 FINISH_S = 14.0
 """Seconds after the end of traffic and faults by which every accepted job has ended, if
@@ -28,6 +33,14 @@
 JOB_PAUSE_S = 0.6
 ASK_PAUSE_S = 0.5
 
+RUN_TIMES_KEY = "learned.run_times"
+
+SHORTAGE_AT_SHARE = 0.25
+"""Share of the traffic's time after which more work is requested than can be done."""
+
+SHORTAGE_S = 4.0
+"""Seconds for which it is."""
+
 
 @dataclass(frozen=True, slots=True)
 class SoakSettings:
@@ -40,6 +53,8 @@
     :param kinds: kinds of faults to draw from; all of them if empty
     :param longest_run_s: duration of the longest runs; an outage can end only runs that
         are longer than a lease
+    :param has_workloads: whether there are gangs beside tasks with checkpoints, and a
+        shortage of workers for a few seconds
     """
 
     seed: int
@@ -51,6 +66,7 @@
     packages: str = ""
     kinds: tuple[str, ...] = ()
     longest_run_s: float = LONGEST_RUN_S
+    has_workloads: bool = True
 
     @property
     def finish_s(self) -> float:
@@ -60,7 +76,15 @@
 
 @dataclass(frozen=True, slots=True)
 class SoakResult:
-    """What a soak has shown."""
+    """What a soak has shown.
+
+    :param preempted: number of runs that were preempted
+    :param resumed: number of runs that began from a checkpoint
+    :param refused_for_shortage: number of jobs that were refused for a shortage at
+        least once
+    :param past_use_loaded: number of times that a planner loaded the past usage
+    :param run_times_loaded: number of times that one loaded the learned run times
+    """
 
     violations: tuple[str, ...]
     faults: dict[str, int]
@@ -69,6 +93,11 @@
     runs: int
     probes: int
     events: Counter[str]
+    preempted: int
+    resumed: int
+    refused_for_shortage: int
+    past_use_loaded: int
+    run_times_loaded: int
 
     def __str__(self) -> str:
         rules = Counter(v.partition(":")[0] for v in self.violations)
@@ -76,6 +105,10 @@
             f"{dict(rules) or 'held'}; {self.jobs} jobs, {self.accepted} accepted,"
             f" {self.runs} runs, {self.probes} probes,"
             f" {sum(self.faults.values())} faults of {len(self.faults)} kinds;"
+            f" {self.preempted} runs preempted, {self.resumed} resumed,"
+            f" {self.refused_for_shortage} jobs refused for shortage,"
+            f" usage.past loaded {self.past_use_loaded} times,"
+            f" {RUN_TIMES_KEY} {self.run_times_loaded} times;"
             f" {dict(self.events)}"
         )
 
@@ -89,6 +122,8 @@
     "feed_failed",
     "worker_call_failed",
     "record_failed",
+    "run_times_ignored",
+    "past_use_unreadable",
 )
 """Events of the processes' logs that a result counts."""
 
@@ -124,6 +159,8 @@
             group.create_task(operator.run(until))
             for _ in range(settings.clients):
                 group.create_task(make_client().run(until, JOB_PAUSE_S))
+            if settings.has_workloads:
+                group.create_task(_send_workloads(settings, make_client, until))
             for ip in deployment.ips:
                 group.create_task(make_client().keep_probing(ip, until, PROBE_PAUSE_S))
         await _restore(deployment)
@@ -135,26 +172,53 @@
         if logs:
             folder = Path(logs) / f"seed-{settings.seed}"
             shutil.copytree(deployment.log_folder, folder, dirs_exist_ok=True)
-        events = Counter(
-            str(line["event"])
-            for ip in deployment.ips
-            for line in deployment.read_log(ip)
-            if line["event"] in WATCHED_EVENTS
-        )
+        lines = [line for ip in deployment.ips for line in deployment.read_log(ip)]
     finally:
         for client in clients:
             client.close()
         await deployment.close()
     jobs = observations.job_by_id.values()
+    events = Counter(str(line["event"]) for line in lines)
+    observations.preempted = [
+        ".".join(map(str, line["task"]))
+        for line in lines
+        if line["event"] == "preempted"
+    ]
+    runs = [run for worker in deployment.workers for run in worker.runs]
+    served = deployment.store.served_by_key[RUN_TIMES_KEY]
     return SoakResult(
         tuple(find_violations(observations, deployment.workers)),
         injector.counts,
         len(jobs),
         sum(bool(job.accepted_at) for job in jobs),
-        sum(len(worker.runs) for worker in deployment.workers),
+        len(runs),
         len(observations.probes),
-        events,
+        Counter({name: events[name] for name in WATCHED_EVENTS if events[name]}),
+        len(observations.preempted),
+        sum(bool(run.resumed_s) for run in runs),
+        len({line["job"] for line in lines if line.get("reason") == "shortage"}),
+        events["past_use_loaded"],
+        served - events["run_times_ignored"],
+    )
+
+
+async def _send_workloads(
+    settings: SoakSettings, make_client: Callable[[], Client], until: float
+) -> None:
+    """Send gangs beside batches, and for a few seconds more than workers can take."""
+    shortage_at = until - settings.seconds * (1 - SHORTAGE_AT_SHARE)
+    ends_at = min(until, shortage_at + SHORTAGE_S)
+    gangs_s, batches_s, surges_s = (
+        workload.compute_pause_s(settings.workers)
+        for workload in (GANGS, BATCHES, SURGES)
     )
+    async with asyncio.TaskGroup() as group:
+        group.create_task(make_client().send(GANGS, until, gangs_s))
+        group.create_task(make_client().send(BATCHES, until, batches_s))
+        await asyncio.sleep(shortage_at - time.monotonic())
+        group.create_task(make_client().send(BATCHES, ends_at, batches_s))
+        surge = make_client().send(SURGES, ends_at, surges_s, LARGE_KEY)
+        group.create_task(surge)
 
 
 async def _restore(deployment: SoakDeployment) -> None:
--- a/testkit/soak/traffic.py
+++ b/testkit/soak/traffic.py
@@ -10,7 +10,7 @@
 from jacinthloom_wire.errors import TransportError
 from jacinthloom_wire.http_client import HttpClient
 
-from ..hosted.deployment import FRONT_PORT, KEY, PREFIX
+from ..hosted.deployment import FRONT_PORT, KEY
 from .deployment import HOST
 from .observations import Job, Probe, Version
 
@@ -21,10 +21,15 @@
 
     from .deployment import SoakDeployment
     from .observations import Observations
+    from .workloads import Workload
 
 CALL_TIMEOUT_S = 4.0
 BUDGET_MS = 3_000
 MAX_ATTEMPTS = 6
+
+WORKLOAD_ATTEMPTS = 2
+"""Submissions of a job of a workload: with few of them some jobs stay refused."""
+
 OPTIONAL_ROUTES = 4
 OPTIONAL_KEYS = 3
 FINAL_STATES = frozenset({"completed", "failed", "cancelled"})
@@ -80,6 +85,20 @@
             await asyncio.sleep(self._random.uniform(0, 2 * pause_s))
             await self.ask(job)
 
+    async def send(
+        self, workload: Workload, until: float, pause_s: float, key: str = KEY
+    ) -> None:
+        """Submit jobs of a workload, without waiting for the answers to earlier ones.
+
+        :param key: key of the client account
+        """
+        async with asyncio.TaskGroup() as group:
+            while time.monotonic() < until:
+                job = workload.make_job(self._random, key)
+                self._observations.job_by_id[job.id] = job
+                group.create_task(self._submit(job, WORKLOAD_ATTEMPTS))
+                await asyncio.sleep(self._random.uniform(0, 2 * pause_s))
+
     def _make_job(self) -> Job:
         random = self._random
         name = f"{random.getrandbits(64):016x}"
@@ -103,11 +122,13 @@
             }
         return Job(name, body, time.monotonic())
 
-    async def _submit(self, job: Job) -> None:
+    async def _submit(self, job: Job, attempts: int = MAX_ATTEMPTS) -> None:
         is_failed = False
-        for _ in range(MAX_ATTEMPTS):
+        for _ in range(attempts):
             ip = self.choose_ip(is_failed)
-            response = await self.call(ip, "POST", PREFIX + job.id, job.body)
+            response = await self.call(
+                ip, "POST", job.prefix + job.id, job.body, job.key
+            )
             if response is not None and response.status == 200:
                 job.accepted_at = time.monotonic()
                 return
@@ -121,13 +142,14 @@
     async def _repeat(self, job: Job) -> None:
         await asyncio.sleep(self._random.uniform(0.0, 3.0))
         ip = self._random.choice(self._deployment.ips)
-        await self.call(ip, "POST", PREFIX + job.id, job.body)
+        await self.call(ip, "POST", job.prefix + job.id, job.body, job.key)
 
     async def _cancel(self, job: Job) -> None:
         await asyncio.sleep(self._random.uniform(0.0, 2.0))
         for _ in range(MAX_ATTEMPTS):
             job.cancel_sent_at = job.cancel_sent_at or time.monotonic()
-            response = await self.call(self.choose_ip(), "DELETE", PREFIX + job.id)
+            path = job.prefix + job.id
+            response = await self.call(self.choose_ip(), "DELETE", path, key=job.key)
             if response is not None and response.status in (200, 410):
                 job.cancelled_at = time.monotonic()
                 return
@@ -137,7 +159,7 @@
     async def ask(self, job: Job) -> str:
         """Ask for the state of a job and return it, or an empty string."""
         ip = self.choose_ip()
-        response = await self.call(ip, "GET", PREFIX + job.id)
+        response = await self.call(ip, "GET", job.prefix + job.id, key=job.key)
         if response is None or response.status not in (200, 410):
             self.choose_ip(is_failed=True)
             return ""
