Fail the soak test if its seeds preempt no run

Cause: a change of the traffic or of the preemption rule could end all preemptions in the soak, and the test would still pass. Change: the test of all kinds of faults requires preempted and resumed runs over its two seeds.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,7 +5,7 @@
 import asyncio
 import unittest
 
-from testkit.soak.soak import SoakSettings, run_soak
+from testkit.soak.soak import SoakResult, SoakSettings, run_soak
 
 SECONDS = 15.0
 SEEDS = (1, 2)
@@ -16,17 +16,24 @@
         # unittest runs its event loops in debug mode, which slows the stand-ins down.
         asyncio.get_running_loop().set_debug(False)
 
-    async def run_seed(self, settings: SoakSettings) -> None:
+    async def run_seed(self, settings: SoakSettings) -> SoakResult:
         result = await run_soak(settings)
         self.assertEqual(result.violations, (), str(result))
         self.assertGreater(result.accepted, 0)
         self.assertEqual(result.events["planner_failed"], 0, str(result))
+        return result
 
-    # Guards against what overlapping series of faults bring about in real processes.
+    # Guards against what overlapping series of faults bring about in real processes,
+    # and against a soak whose gangs no longer bring about any preemption.
     async def test_rules_hold_beside_faults_of_all_kinds(self) -> None:
+        preempted = resumed = 0
         for seed in SEEDS:
             with self.subTest(seed=seed):
-                await self.run_seed(SoakSettings(seed, 4, 12, SECONDS, 3, 6))
+                result = await self.run_seed(SoakSettings(seed, 4, 12, SECONDS, 3, 6))
+                preempted += result.preempted
+                resumed += result.resumed
+        self.assertGreater(preempted, 0)
+        self.assertGreater(resumed, 0)
 
     # Guards against a planner that misses what changes while it loads its records.
     async def test_rules_hold_with_changes_at_every_takeover(self) -> None:
