Keep the logs of a soak whose deployment does not start

Cause: logs were copied only after a whole soak, so nothing told why processes were not ready. Change: they are copied before the deployment is closed, whether it started or not.

--- a/testkit/soak/soak.py
+++ b/testkit/soak/soak.py
@@ -169,11 +169,11 @@
         await operator.write()
         await _probe_all(deployment, prober)
         await _wait_for_jobs(observations, prober, settings.finish_s)
-        if logs:
-            folder = Path(logs) / f"seed-{settings.seed}"
-            shutil.copytree(deployment.log_folder, folder, dirs_exist_ok=True)
         lines = [line for ip in deployment.ips for line in deployment.read_log(ip)]
     finally:
+        if logs:  # also those of a deployment that did not start
+            folder = Path(logs) / f"seed-{settings.seed}"
+            shutil.copytree(deployment.log_folder, folder, dirs_exist_ok=True)
         for client in clients:
             client.close()
         await deployment.close()
