--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -14,6 +14,7 @@
 
 from jacinthloom_wire.errors import TransportError
 from jacinthloom_wire.http_client import HttpClient, Response
+
 from testkit.hosted.log_store import LogStoreStandIn
 from testkit.loopback import reserve_loopback_ip
 
@@ -107,6 +108,7 @@
     """Entry processes, a store and workers; writes what happens to a record.
 
     :ivar started_at: monotonic time at which the record began
+    :ivar ips: addresses of the entry processes
     """
 
     def __init__(self, folder: Path, processes: int) -> None:
@@ -114,7 +116,7 @@
         self.store = LogStoreStandIn()
         self.workers: list[Worker] = []
         self._record: TextIO = (folder / "record.txt").open("w")
-        self._ips = [reserve_loopback_ip() for _ in range(processes)]
+        self.ips = [reserve_loopback_ip() for _ in range(processes)]
         self._processes: list[subprocess.Popen[bytes]] = []
         self._beats: list[asyncio.Task[None]] = []
         self._files = tempfile.TemporaryDirectory()
@@ -143,10 +145,10 @@
             self.workers.append(worker)
             await worker.start()
             self._beats.append(asyncio.create_task(self._beat(worker)))
-        role = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]["entry"]
-        for number, ip in enumerate(self._ips):
-            self._start_process(number, ip, address, role)
-        for ip in self._ips:
+        deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
+        for number, ip in enumerate(self.ips):
+            self._start_process(number, ip, address, deploy["roles"]["entry"])
+        for ip in self.ips:
             await self._wait_until_ready(ip)
         self.write("all entry processes are ready")
 
@@ -174,6 +176,11 @@
             )
         self._processes.append(process)
 
+    def stop_process(self, number: int) -> None:
+        """Send SIGTERM to an entry process."""
+        self.write(f"e{number} gets SIGTERM")
+        self._processes[number].terminate()
+
     async def _wait_until_ready(self, ip: str) -> None:
         client = HttpClient(f"{ip}:8184")
         async with asyncio.timeout(START_TIMEOUT_S):
@@ -222,7 +229,7 @@
         )
         last: Exception | None = None
         for attempt in range(6):
-            ip = self._ips[(host + attempt) % len(self._ips)]
+            ip = self.ips[(host + attempt) % len(self.ips)]
             client = HttpClient(f"{ip}:8183", host_name="front.example")
             try:
                 response = await client.request(
