--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,71 +1,110 @@
-"""The only worker that may run a service crashes a few times, and then stays up."""
+"""All hosts are stopped in turn, while clients go on calling the last one."""
 
 from __future__ import annotations
 
 import asyncio
 import os
 import sys
+import time
 import traceback
+from dataclasses import dataclass
 from pathlib import Path
 
 from standins2.fleet import Fleet
 
 FOLDER = Path(__file__).resolve().parent
-JOB = "0b00000000000001"
-STEP = {
-    "count": 1,
-    "cpu": 2000,
-    "memMb": 2048,
-    "estRuntimeMs": 1000,
-    "longRunning": True,
-    "constraints": "b",
-}
+WORKERS = {f"i-a{number}": ["a", f"r1-{number}"] for number in range(4)}
 
-WORKERS = {f"i-a{number}": ["a", f"r1-{number}"] for number in range(9)} | {
-    "i-b0": ["b", "r2-0"]
-}
+GAP_S = 2.0
+"""Seconds between two stops, as in the site file."""
 
-CRASHES = 4
+GRACE_S = 6.0
+LOSS_SLACK_S = 0.2
+CALL_INTERVAL_S = 0.1
+MOST_CALLS = 120
+STEP = {"count": 1, "cpu": 1000, "memMb": 512, "estRuntimeMs": 500}
 
-DOWN_S = 2.0
-"""Seconds for which the worker is down after each crash."""
 
-UP_S = 3.0
-"""Seconds of work after which it crashes again."""
+@dataclass
+class Call:
+    """A call of a client over a connection of its own.
 
-OBSERVED_S = 30.0
-"""Seconds that follow the last crash."""
+    :param sent_at: monotonic time at which its last byte was sent; 0 if it was not
+    :param ended_at: time of the answer, or of the end of the connection
+    :param answer: first line of the answer; empty if there was none
+    """
 
+    sent_at: float = 0.0
+    ended_at: float = 0.0
+    answer: str = ""
 
-async def crash_repeatedly(fleet: Fleet) -> None:
-    """Let the worker with the label crash whenever it has worked for a while."""
-    worker = fleet.workers[-1]
-    for _ in range(CRASHES):
-        if not await fleet.wait_until(lambda: bool(fleet.find_hosts(JOB)), 20):
-            break
-        await asyncio.sleep(UP_S)
-        await worker.crash()
-        await asyncio.sleep(DOWN_S)
-        await fleet.restart_worker(worker)
-    fleet.write("the worker stays up from now on")
+    @property
+    def is_lost(self) -> bool:
+        """Whether the connection ended without an answer, late after the request."""
+        is_unanswered = self.sent_at > 0 and not self.answer
+        return is_unanswered and self.ended_at - self.sent_at > LOSS_SLACK_S
+
+
+async def call(ip: str, number: int) -> Call:
+    """Hand in a job, and wait for the answer or the end of the connection."""
+    result = Call()
+    body = (
+        b'{"spec":"work 0.5","steps":[{"count":1,"cpu":1000,"memMb":512,'
+        b'"estRuntimeMs":500}]}'
+    )
+    head = (
+        f"POST /jobs/{number:016x} HTTP/1.1\r\nHost: front.example\r\n"
+        "Authorization: Token key-1\r\nContent-Type: application/json\r\n"
+        f"X-Jacinthloom-Time-Budget-Ms: 3000\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    try:
+        async with asyncio.timeout(3.0):
+            reader, writer = await asyncio.open_connection(ip, 8183)
+            writer.write(head.encode() + body)
+            await writer.drain()
+            result.sent_at = time.monotonic()
+            try:
+                data = await reader.read(4096)
+                result.answer = data.decode().partition("\r\n")[0]
+            finally:
+                writer.close()
+    except (OSError, TimeoutError):
+        pass
+    result.ended_at = time.monotonic()
+    return result
 
 
 async def play(fleet: Fleet, has_trouble: bool) -> bool:
     """Return whether the rule held."""
     await fleet.start(WORKERS)
-    await fleet.submit(JOB, "serve", STEP)
-    if not await fleet.wait_until(lambda: bool(fleet.find_hosts(JOB)), 15):
-        raise RuntimeError("the task was never started")
+    await fleet.submit("0100000000000001", "work 0.5", STEP)
+    stops_at: list[float] = []
     if has_trouble:
-        await crash_repeatedly(fleet)
-    await asyncio.sleep(OBSERVED_S)
-    state = await fleet.read_state(JOB)
-    is_at_work = bool(fleet.find_hosts(JOB))
-    fleet.write(
-        f"the job is shown as {state!r}; its task is {'' if is_at_work else 'not '}"
-        "running; no run of it has ended as failed"
-    )
-    return is_at_work and state not in ("failed", "cancelled")
+        for number in range(len(fleet.ips)):
+            fleet.stop_process(number)
+            stops_at.append(time.monotonic())
+            if number < len(fleet.ips) - 1:
+                await asyncio.sleep(GAP_S)
+    began_at = time.monotonic()
+    tasks = []
+    for number in range(MOST_CALLS):
+        if time.monotonic() - began_at > GRACE_S:
+            break
+        tasks.append(asyncio.create_task(call(fleet.ips[-1], 0x20000 + number)))
+        await asyncio.sleep(CALL_INTERVAL_S)
+    lost = 0
+    for task in tasks:
+        result = await task
+        sent_s, took_s = result.sent_at - began_at, result.ended_at - result.sent_at
+        if not result.sent_at:
+            text = "not sent: no connection"
+        else:
+            outcome = result.answer or "the connection ended without an answer"
+            text = f"sent at {sent_s:.2f} s, after {took_s:.2f} s: {outcome}"
+        fleet.write(text + (" (LOST)" if result.is_lost else ""))
+        lost += result.is_lost and result.ended_at - began_at < GRACE_S + 1
+    fleet.write(f"{lost} calls of {len(tasks)} were read and not answered")
+    return not lost
 
 
 async def main() -> int:
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Compiles the stand-ins that the scripts of review/6 to review/10 start, the project's
+# Compiles the stand-ins that the scripts of review/6 to review/9 start, the project's
 # own too, and checks that they import what the build of the deploy file provides.
 set -eu
 cd "$(dirname "$0")/.."
