Count the requests that a stop cuts off

Cause: a host that stopped closed connections of calls that it had read, and no line of its log told of them, so the log did not show why callers had no answer. Change: HttpServer.close returns how many requests it has read and not answered, and the line `stop` has this as `unanswered`.

--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
@@ -146,8 +146,8 @@
             clients.close_idle(IDLE_TIMEOUT_S)
             await asyncio.sleep(0.05)
         election.cancel()
-        await clients.close(max(0.1, stop_at - clock.now()))
-        log.write("stop", node=settings.name)
+        unanswered = await clients.close(max(0.1, stop_at - clock.now()))
+        log.write("stop", node=settings.name, unanswered=unanswered)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(work)
--- a/packages/jacinthloom-wire/src/jacinthloom_wire/http_server.py
+++ b/packages/jacinthloom-wire/src/jacinthloom_wire/http_server.py
@@ -99,6 +99,7 @@
         self._idle_since_by_writer: dict[asyncio.StreamWriter, float] = {}
         self._closing = False
         self._draining = False
+        self._unanswered = 0
         self.open_connections = 0
         self.refused_count = 0
 
@@ -120,10 +121,11 @@
             if now - since >= idle_s:
                 writer.close()
 
-    async def close(self, grace_s: float = 5.0) -> None:
+    async def close(self, grace_s: float = 5.0) -> int:
         """Stop accepting, let requests in flight end, then close connections.
 
         :param grace_s: seconds that requests in flight may take
+        :returns: number of requests that were read, and whose responses were cut off
         """
         self._closing = True
         if self._server is not None:
@@ -133,6 +135,7 @@
             await asyncio.wait(self._tasks, timeout=grace_s)
         for task in self._tasks:
             task.cancel()
+        return self._unanswered
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -182,11 +185,15 @@
                 return
             if request is None:
                 return
-            response = await self._handle(request)
-            closes_connection = (
-                self._closing or self._draining or response.closes_connection
-            )
-            await _send(state, writer, response, closes_connection)
+            self._unanswered += 1
+            try:
+                response = await self._handle(request)
+                closes_connection = (
+                    self._closing or self._draining or response.closes_connection
+                )
+                await _send(state, writer, response, closes_connection)
+            finally:
+                self._unanswered -= 1
             if state.our_state is not h11.DONE:
                 return
             if state.their_state is not h11.DONE:
