Answer requests that have arrived when connections are closed

What callers saw: in a planned stop, a connection closed without a response although the process had read the request; it could even run. Cause: close_idle and close took a connection for idle by the time at which its task began to wait, not by what its transport had received; a task that was just started did not read at all; and a response counted as sent while up to 64 KiB of it were still in the process. Change: an idle wait ends by its timeout, and looks once more at what has been received; a closing server still serves requests that arrive within 50 ms of the opening or last use of their connection; a response counts as sent when the kernel has all of it, within the idle timeout. Evidence: three tests that fail before: "request that has arrived on an idle connection" (b'' for 200, and the request had run), "on a new connection of a closing server" (reset), "until a slow client has received" (close returned first).

--- a/packages/jacinthloom-wire/src/jacinthloom_wire/http_server.py
+++ b/packages/jacinthloom-wire/src/jacinthloom_wire/http_server.py
@@ -4,9 +4,8 @@
 
 import asyncio
 import json
-import time
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, cast
 from urllib.parse import parse_qs, urlsplit
 
 import h11
@@ -17,6 +16,10 @@
 READ_BYTES = 64 * 1024
 """Maximum bytes per read from a socket."""
 
+LAST_REQUEST_S = 0.05
+"""Seconds that a connection of a closing server may stay idle: a request may be on its
+way, over a connection that was just opened or used."""
+
 
 @dataclass(frozen=True, slots=True)
 class ServerLimits:
@@ -24,7 +27,8 @@
 
     :param header_timeout_s: seconds to receive the complete request head
     :param body_timeout_s: seconds to receive the complete request body
-    :param idle_timeout_s: seconds that a connection may stay idle between requests
+    :param idle_timeout_s: seconds that a connection may stay idle between requests, or
+        that a client may take to receive a response
     """
 
     max_connections: int = 512
@@ -96,7 +100,7 @@
         self._limits = limits or ServerLimits()
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
-        self._idle_since_by_writer: dict[asyncio.StreamWriter, float] = {}
+        self._idle_since_by_timeout: dict[asyncio.Timeout, float] = {}
         self._closing = False
         self._draining = False
         self._unanswered = 0
@@ -115,11 +119,14 @@
         self._draining = True
 
     def close_idle(self, idle_s: float) -> None:
-        """Close connections that have waited ``idle_s`` seconds for a request."""
-        now = time.monotonic()
-        for writer, since in list(self._idle_since_by_writer.items()):
-            if now - since >= idle_s:
-                writer.close()
+        """Close connections that have waited ``idle_s`` seconds for a request.
+
+        A request that has arrived meanwhile is still served.
+        """
+        now = asyncio.get_running_loop().time()
+        for timeout, since in self._idle_since_by_timeout.items():
+            if now - since >= idle_s and not timeout.expired():
+                timeout.reschedule(now)
 
     async def close(self, grace_s: float = 5.0) -> int:
         """Stop accepting, let requests in flight end, then close connections.
@@ -130,7 +137,10 @@
         self._closing = True
         if self._server is not None:
             self._server.close()
-        self.close_idle(0.0)
+        for timeout, since in self._idle_since_by_timeout.items():
+            if not timeout.expired():
+                timeout.reschedule(since + LAST_REQUEST_S)
+        await asyncio.sleep(0)  # starts the tasks of connections that were just opened
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=grace_s)
         for task in self._tasks:
@@ -144,6 +154,8 @@
         assert task is not None
         self._tasks.add(task)
         self.open_connections += 1
+        # With these limits, drain() waits until the whole response has been sent.
+        writer.transport.set_write_buffer_limits(0)
         try:
             await self._serve(reader, writer)
         except (OSError, EOFError, h11.ProtocolError, TimeoutError):
@@ -168,7 +180,7 @@
                 _build_refusal(503, "too_many_connections", "busy"),
             )
             return
-        while not self._closing:
+        while True:
             try:
                 request = await self._read_request(state, reader, writer)
             except _BadRequestError as error:
@@ -191,7 +203,7 @@
                 closes_connection = (
                     self._closing or self._draining or response.closes_connection
                 )
-                await _send(state, writer, response, closes_connection)
+                await self._send_in_time(state, writer, response, closes_connection)
             finally:
                 self._unanswered -= 1
             if state.our_state is not h11.DONE:
@@ -200,19 +212,29 @@
                 return
             state.start_next_cycle()
 
+    async def _send_in_time(
+        self,
+        state: h11.Connection,
+        writer: asyncio.StreamWriter,
+        response: ServerResponse,
+        closes_connection: bool,
+    ) -> None:
+        """Send a response; abort the connection if the client does not receive it."""
+        try:
+            async with asyncio.timeout(self._limits.idle_timeout_s):
+                await _send(state, writer, response, closes_connection)
+        except TimeoutError:
+            writer.transport.abort()
+            raise
+
     async def _read_request(
         self,
         state: h11.Connection,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> Request | None:
-        self._idle_since_by_writer[writer] = time.monotonic()
-        try:
-            async with asyncio.timeout(self._limits.idle_timeout_s):
-                if not await _wait_for_data(state, reader):
-                    return None
-        finally:
-            self._idle_since_by_writer.pop(writer, None)
+        if not await self._wait_for_request(state, reader, writer):
+            return None
         try:
             async with asyncio.timeout(self._limits.header_timeout_s):
                 head = await _next_event(state, reader)
@@ -231,6 +253,27 @@
                 400, "malformed_request", f"the request can't be read: {error}"
             ) from error
 
+    async def _wait_for_request(
+        self,
+        state: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Wait for the first bytes of a request; return false if none come in time.
+
+        What the process has read by then counts, so that no request is dropped unseen.
+        """
+        idle_s = LAST_REQUEST_S if self._closing else self._limits.idle_timeout_s
+        timeout = asyncio.timeout(idle_s)
+        self._idle_since_by_timeout[timeout] = asyncio.get_running_loop().time()
+        try:
+            async with timeout:
+                return await _wait_for_data(state, reader)
+        except TimeoutError:
+            return await _read_received_data(state, reader, writer)
+        finally:
+            del self._idle_since_by_timeout[timeout]
+
     async def _read_body(
         self,
         state: h11.Connection,
@@ -269,6 +312,21 @@
     return True
 
 
+async def _read_received_data(
+    state: h11.Connection, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> bool:
+    """Take the bytes that the transport has received; return whether there are any."""
+    transport = cast("asyncio.Transport", writer.transport)
+    transport.pause_reading()
+    try:
+        async with asyncio.timeout(0):
+            return await _wait_for_data(state, reader)
+    except TimeoutError:
+        return False
+    finally:
+        transport.resume_reading()
+
+
 async def _next_event(state: h11.Connection, reader: asyncio.StreamReader) -> object:
     while True:
         event = state.next_event()
