Answer every call before a host that stops exits

Cause: each wait of a call has a limit of its own (1.5 s for a planner, the time budget for its response), and none was cut to what the process had left; the drain of 2.2 s was not cut to the grace time either, and a stop that began while the process started was timed from the end of the start. Then the calls that still wait are refused with 503 and Retry-After, and those that a planner may have got are answered with 504, since their outcome is unknown. Later ones are refused at once.

--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/client_handler.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/client_handler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from collections import Counter
 from dataclasses import replace
@@ -29,6 +30,7 @@
     from jacinthloom_wire.http_server import Request, ServerResponse
 
     from .feeds import OperatorFeed
+    from .planned_stop import PlannedStop
     from .planner_client import PlannerClient
 
 PLANNER_TIMEOUT_S = 1.5
@@ -45,10 +47,18 @@
 class ClientHandler:
     """Handle the HTTP calls of clients."""
 
-    def __init__(self, feed: OperatorFeed, planner_client: PlannerClient) -> None:
+    def __init__(
+        self,
+        feed: OperatorFeed,
+        planner_client: PlannerClient,
+        planned_stop: PlannedStop,
+    ) -> None:
         self._feed = feed
         self._planner_client = planner_client
+        self._planned_stop = planned_stop
         self.counters: Counter[str] = Counter()
+        self.stop_counters: Counter[str] = Counter()
+        """Calls that a planned stop has ended, by outcome."""
         self.latency = LatencyHistogram(
             "jacinthloom_call_seconds", "Time from a client's call to its answer."
         )
@@ -58,15 +68,18 @@
         began = time.perf_counter()
         rules = self._feed.rules
         if not rules.version:
-            return build_response(
-                503, "no configuration has been loaded yet", RETRY_AFTER_S
-            )
+            reason = "no configuration has been loaded yet"
+            self._log_refusal(request, 503, reason, rules)
+            return build_response(503, reason, RETRY_AFTER_S)
         try:
             call = parse_call(request, rules)
             response = await self._serve(call, request, rules)
         except CallRefusedError as error:
             response = build_response(error.status, str(error))
             self._log_refusal(request, error.status, str(error), rules)
+        except asyncio.CancelledError:
+            log.write("call_cut_off", method=request.method, path=request.path)
+            raise
         self.counters[f"{request.method} {response.status}"] += 1
         self.latency.record(time.perf_counter() - began)
         return response
@@ -125,15 +138,22 @@
             try:
                 return await self._planner_client.call(message, wait_s, remaining_s)
             except NoPlannerError:
-                if not was_sent:
-                    break
+                break
             except UnansweredError:
                 was_sent = True
+        return self._refuse(was_sent)
+
+    def _refuse(self, was_sent: bool) -> messages.Answer:
+        """Return the response to a call that no planner has responded to."""
+        cause = ""
+        if self._planned_stop.has_begun:
+            cause = "this host is stopping, and "
+            self.stop_counters["unknown" if was_sent else "refused"] += 1
         if was_sent:
-            return messages.Answer(
-                0, 504, "the planner did not respond in time; the outcome is unknown"
-            )
-        return messages.Answer(0, 503, "no planner is available", RETRY_AFTER_S)
+            reason = "the planner did not respond in time; the outcome is unknown"
+            return messages.Answer(0, 504, cause + reason)
+        reason = "no planner is available"
+        return messages.Answer(0, 503, cause + reason, RETRY_AFTER_S)
 
     def _log_refusal(
         self, request: Request, status: int, reason: str, rules: Rules
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_client.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_client.py
@@ -20,7 +20,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import AsyncIterator, Awaitable, Callable
 
     from jacinthloom_core.planner.election import Election
 
@@ -81,6 +81,8 @@
         self._connect_task: asyncio.Task[None] | None = None
         self._connected = asyncio.Event()
         self._disconnected_at = clock.now()
+        self._open_timeouts: set[asyncio.Timeout] = set()
+        self._is_closed = False
         self._newest_ping = messages.Ping()
         """Newest ping of the planner on the current stream."""
         self._advice_tasks: set[asyncio.Task[None]] = set()
@@ -159,20 +161,53 @@
         :raises NoPlannerError: if there was no planner in time; nothing was sent
         :raises UnansweredError: if the call was sent and not answered
         """
+        if self._is_closed:
+            raise NoPlannerError
         try:
-            async with asyncio.timeout(wait_s):
-                await self._connected.wait()
+            await self._wait_for_planner(wait_s)
         except TimeoutError as error:
             raise NoPlannerError from error
         if self._local_planner is not None:
             return await self._call_local(self._local_planner, call, timeout_s)
         return await self._call_remote(call, timeout_s)
 
+    async def _wait_for_planner(self, wait_s: float) -> None:
+        """Wait until there is a planner to send calls to.
+
+        :raises TimeoutError: if there is none in time
+        """
+        if self._connected.is_set():
+            return
+        async with self._limit(wait_s):
+            while not self._connected.is_set():
+                await self._connected.wait()
+
+    @contextlib.asynccontextmanager
+    async def _limit(self, seconds: float) -> AsyncIterator[None]:
+        """Limit the time of a wait, which ends sooner if the client is closed.
+
+        :raises TimeoutError: if the time is over
+        """
+        async with asyncio.timeout(seconds) as timeout:
+            self._open_timeouts.add(timeout)
+            try:
+                yield
+            finally:
+                self._open_timeouts.discard(timeout)
+
+    def close(self) -> None:
+        """End all calls now, and refuse later ones: the host is about to exit."""
+        self._is_closed = True
+        now = asyncio.get_running_loop().time()
+        for timeout in self._open_timeouts:
+            if not timeout.expired():
+                timeout.reschedule(now)
+
     async def _call_local(
         self, runner: PlannerRunner, call: messages.PlannerCall, timeout_s: float
     ) -> messages.Answer:
         try:
-            async with asyncio.timeout(timeout_s):
+            async with self._limit(timeout_s):
                 return await runner.call(call)
         except TimeoutError as error:
             raise UnansweredError from error
@@ -184,8 +219,6 @@
     async def _call_remote(
         self, call: messages.PlannerCall, timeout_s: float
     ) -> messages.Answer:
-        if self._writer is None:
-            raise NoPlannerError
         number = next(self._call_numbers)
         future: asyncio.Future[messages.Answer] = (
             asyncio.get_running_loop().create_future()
@@ -193,7 +226,7 @@
         self._future_by_call[number] = future
         self._send(msgspec.structs.replace(call, call=number))
         try:
-            async with asyncio.timeout(timeout_s):
+            async with self._limit(timeout_s):
                 return await future
         except TimeoutError as error:
             raise UnansweredError from error
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import secrets
 import signal
@@ -25,6 +26,7 @@
 from .environment import read_past_use_half_life_s
 from .feeds import OperatorFeed
 from .metrics import METRICS_PORT, ProcessMetrics
+from .planned_stop import PlannedStop
 from .planner_client import PlannerClient
 from .planner_runner import LEASE_S, PlannerRunner
 from .planner_server import PlannerServer
@@ -40,16 +42,16 @@
 
     from ..platform.node_settings import NodeSettings
 
-STOP_MARGIN_S = 0.8
-"""Seconds by which the process exits before the platform kills it."""
-
 DRAIN_S = 2.2
-"""Seconds after SIGTERM for which connections stay open: readiness is checked every
-second, and two failed checks take a host out of the rotation."""
+"""Seconds for which connections of a stopping process stay open: readiness is checked
+every second, and two failed checks take a host out of the rotation."""
 
 IDLE_TIMEOUT_S = 1.0
 """Seconds without a call after which a draining process closes a connection."""
 
+DRAIN_INTERVAL_S = 0.05
+"""Seconds between two checks of the connections that a draining process has."""
+
 REACHABILITY_INTERVAL_S = 0.5
 """Seconds between two checks whether members reach the planner."""
 
@@ -96,7 +98,10 @@
         self._operator_feed = OperatorFeed(
             self._store, self._ignored_records, self._on_rules, self._on_zones
         )
-        self._client_handler = ClientHandler(self._operator_feed, self._planner_client)
+        self._planned_stop = PlannedStop(settings.grace_s)
+        self._client_handler = ClientHandler(
+            self._operator_feed, self._planner_client, self._planned_stop
+        )
         self._runner: PlannerRunner | None = None
         self._term_began_at = 0.0
         self._last_planned_term = 0
@@ -111,13 +116,12 @@
             self._ignored_records,
         )
         self._tasks: set[asyncio.Task[None]] = set()
-        self._stopping = asyncio.Event()
 
     async def run(self) -> None:
         """Serve until SIGTERM, then hand over and return."""
         settings = self._settings
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
+        loop.add_signal_handler(signal.SIGTERM, self._planned_stop.begin)
         loop.add_signal_handler(
             signal.SIGHUP, lambda: log.write("reload", node=settings.name)
         )
@@ -135,19 +139,40 @@
         self._spawn(self._keep_running(self._planner_client.query_peers))
         election = self._spawn(self._keep_running(self._election_follower.follow))
         await clients.start(settings.front_address)
-        await self._stopping.wait()
-        stop_at = clock.now() + settings.grace_s - STOP_MARGIN_S
+        await self._planned_stop.wait()
         log.write("stopping", node=settings.name)
+        await self._stop(clients)
+        election.cancel()
+        await self._close(clients, readiness, metrics)
+
+    async def _stop(self, clients: HttpServer) -> None:
+        """Hand over, and serve clients until they have left or time is up."""
+        stop = self._planned_stop
         self._election_follower.claims_enabled = False
         clients.drain()
-        await self._hand_over()
-        await asyncio.sleep(DRAIN_S)
-        while clients.open_connections and clock.now() < stop_at:
-            clients.close_idle(IDLE_TIMEOUT_S)
-            await asyncio.sleep(0.05)
-        election.cancel()
-        unanswered = await clients.close(max(0.1, stop_at - clock.now()))
-        log.write("stop", node=settings.name, unanswered=unanswered)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(stop.compute_response_time_s()):
+                await self._hand_over()
+                await asyncio.sleep(DRAIN_S)
+                while clients.open_connections:
+                    clients.close_idle(IDLE_TIMEOUT_S)
+                    await asyncio.sleep(DRAIN_INTERVAL_S)
+
+    async def _close(self, clients: HttpServer, *others: HttpServer) -> None:
+        """Respond to the calls that are still open, then close all connections."""
+        stop = self._planned_stop
+        self._planner_client.close()
+        unanswered = await clients.close(stop.compute_exit_time_s())
+        for server in others:
+            await server.close(stop.compute_exit_time_s())
+        counters = self._client_handler.stop_counters
+        log.write(
+            "stop",
+            node=self._settings.name,
+            refused=counters["refused"],
+            unknown=counters["unknown"],
+            unanswered=unanswered,
+        )
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(work)
@@ -181,7 +206,7 @@
     async def _handle_readiness(self, request: Request) -> ServerResponse:
         is_ready = (
             self._operator_feed.has_rules.is_set()
-            and not self._stopping.is_set()
+            and not self._planned_stop.has_begun
             and not self._planner_client.has_lost_planner
         )
         return ServerResponse.from_json(200 if is_ready else 503, {})
@@ -241,7 +266,7 @@
             log.write("term_repeated", number=term.number)
             return
         self._last_planned_term = term.number
-        if self._stopping.is_set():
+        if self._planned_stop.has_begun:
             # The claim was in flight when the stop began.
             self._spawn(self._election_follower.release())
             return
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -199,7 +199,7 @@
     # Guards against a process that plans from its stop to its end, and then takes the
     # term with it, as its claim was in flight when it was stopped.
     async def test_stopping_process_releases_a_claim_that_comes_late(self) -> None:
-        self.process._stopping.set()
+        self.process._planned_stop.begin()
         self.begin_term(5)
         await asyncio.sleep(0.05)
         self.assertIsNone(self.process._runner)
--- a/tests/test_hosted_processes.py
+++ b/tests/test_hosted_processes.py
@@ -5,7 +5,11 @@
 import asyncio
 import json
 import signal
+import time
 import unittest
+from dataclasses import dataclass
+
+from jacinthloom_wire.errors import TransportError
 
 from testkit.hosted.deployment import SERVICE, Deployment
 from testkit.hosted.worker import WorkerStandIn
@@ -16,6 +20,40 @@
 ]
 
 
+MAX_CALLS = 200
+
+LOSS_SLACK_S = 0.2
+"""Seconds after a request from which the end of its connection counts as a loss."""
+
+
+@dataclass(frozen=True, slots=True)
+class CallOutcome:
+    """How a call ended.
+
+    :param status: HTTP status; 0 without a response
+    :param was_sent: whether the request may have been sent
+    """
+
+    status: int
+    was_sent: bool
+    duration_s: float
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the connection ended without a response, late after the request."""
+        return not self.status and self.was_sent and self.duration_s > LOSS_SLACK_S
+
+
+async def call_once(deployment: Deployment, ip: str, job: str) -> CallOutcome:
+    began_at = time.monotonic()
+    status, was_sent = 0, True
+    try:
+        status = (await deployment.call(ip, "GET", job)).status
+    except TransportError as error:
+        was_sent = error.sent
+    return CallOutcome(status, was_sent, time.monotonic() - began_at)
+
+
 class HostedProcessesTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.deployment = Deployment()
@@ -89,6 +127,59 @@
         events = [line["event"] for line in self.deployment.read_log(self.planner)]
         self.assertEqual(events[-1], "stop")
 
+    async def call_until_exit(self, ip: str) -> list[CallOutcome]:
+        """Call a process every 50 ms until it is gone, each time for another job."""
+        process = self.deployment.process_by_ip[ip]
+        calls = []
+        for number in range(MAX_CALLS):
+            if process.poll() is not None:
+                break
+            job = f"{number:016x}"
+            calls.append(asyncio.create_task(call_once(self.deployment, ip, job)))
+            await asyncio.sleep(0.05)
+        return list(await asyncio.gather(*calls))
+
+    def check_stopped(self, ip: str, calls: list[CallOutcome]) -> None:
+        """Check that a process has ended in time and answered all that it has read."""
+        lost = [call for call in calls if call.is_lost]
+        self.assertEqual(lost, [], f"of {len(calls)} calls")
+        self.assertEqual(self.deployment.process_by_ip[ip].returncode, 0)
+        last = self.deployment.read_log(ip)[-1]
+        self.assertEqual((last["event"], last["unanswered"]), ("stop", 0))
+
+    async def check_stop_of_all(self, gap_s: float) -> None:
+        for ip in (self.other, self.planner):
+            self.deployment.process_by_ip[ip].send_signal(signal.SIGTERM)
+            await asyncio.sleep(gap_s)
+        calls = await self.call_until_exit(self.planner)
+        self.assertGreater(len(calls), 20)
+        self.check_stopped(self.planner, calls)
+        self.assertLessEqual({call.status for call in calls}, {0, 200, 410, 503})
+
+    # Guards against calls that a host has read and that end without an answer, since it
+    # stops while they wait for a planner (review/9).
+    async def test_calls_are_answered_until_the_last_host_has_stopped(self) -> None:
+        await self.check_stop_of_all(0.6)
+
+    async def test_calls_are_answered_while_all_hosts_stop_at_once(self) -> None:
+        await self.check_stop_of_all(0.0)
+
+    # Guards against the same for calls that the planner has, and does not answer while
+    # the host lives; and against signals that come meanwhile.
+    async def test_calls_in_progress_are_answered_before_a_host_stops(self) -> None:
+        process = self.deployment.process_by_ip[self.other]
+        self.deployment.process_by_ip[self.planner].send_signal(signal.SIGSTOP)
+        call = asyncio.create_task(self.submit(self.other, "00000000000000b1"))
+        await asyncio.sleep(0.2)
+        process.send_signal(signal.SIGTERM)
+        process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(1.0)
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(await call, 504)
+        await asyncio.to_thread(process.wait, 10)
+        self.check_stopped(self.other, [])
+        self.assertEqual(self.deployment.read_log(self.other)[-1]["unknown"], 1)
+
     async def test_lost_store_responses_do_not_duplicate_a_job(self) -> None:
         self.deployment.store.responses_to_drop = 2
         job = "00000000000000a5"
--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,120 @@
+"""Calls on a host that is stopping: each is answered, and none waits in vain."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from typing import Any, cast
+from unittest import mock
+
+from jacinthloom_daemon.hosted import clock, messages
+from jacinthloom_daemon.hosted.client_handler import ClientHandler
+from jacinthloom_daemon.hosted.planned_stop import PlannedStop
+from jacinthloom_daemon.hosted.planner_client import PlannerClient
+
+from tests.test_planner_streams import FakePlanner, Member
+
+SHOW = messages.Show(0, "a" * 16)
+BUDGET_S = 30.0
+
+
+class SilentPlanner(FakePlanner):
+    """A planner that responds to no call."""
+
+    async def call(self, message: Any) -> messages.Answer:
+        await asyncio.Event().wait()
+        raise AssertionError
+
+
+class TimeOfStopTest(unittest.IsolatedAsyncioTestCase):
+    # Guards against a process that is killed while it drains, since its grace time is
+    # shorter than the drain.
+    def test_all_of_a_stop_fits_into_any_grace_time(self) -> None:
+        for grace_s in (0.2, 1.0, 3.0, 6.0):
+            with self.subTest(grace_s=grace_s):
+                began_at = clock.now()
+                stop = PlannedStop(grace_s)
+                stop.begin()
+                self.assertLess(began_at, stop.respond_by)
+                self.assertLess(stop.respond_by, stop.exit_at)
+                self.assertLess(stop.exit_at, began_at + grace_s)
+
+    # Guards against a process that is killed, since a second SIGTERM gave it more time.
+    def test_repeated_signal_does_not_postpone_the_exit(self) -> None:
+        stop = PlannedStop(6.0)
+        stop.begin()
+        exit_at = stop.exit_at
+        with mock.patch.object(clock, "now", return_value=clock.now() + 2.0):
+            stop.begin()
+        self.assertEqual(stop.exit_at, exit_at)
+
+    def test_process_that_is_not_stopping_has_no_limits(self) -> None:
+        stop = PlannedStop(6.0)
+        self.assertFalse(stop.has_begun)
+        self.assertEqual(stop.compute_response_time_s(), float("inf"))
+
+
+class StoppingHostTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.member = Member("m0")
+        self.client: PlannerClient = self.member.planner_client
+        self.stop = PlannedStop(6.0)
+        self.handler = ClientHandler(cast("Any", None), self.client, self.stop)
+
+    def plan_with(self, planner: FakePlanner) -> None:
+        self.client.set_local_planner(cast("Any", planner))
+
+    def begin_call(self, budget_s: float = BUDGET_S) -> asyncio.Task[messages.Answer]:
+        return asyncio.create_task(self.handler._call_planner(SHOW, budget_s))
+
+    def begin_stop(self) -> None:
+        self.stop.begin()
+
+    async def get_answer(self, call: asyncio.Task[messages.Answer]) -> messages.Answer:
+        async with asyncio.timeout(1):
+            return await call
+
+    # Guards against a connection that is closed without an answer: the process ended
+    # while the call waited for a planner (review/9).
+    async def test_call_that_waits_for_a_planner_is_refused_before_the_exit(
+        self,
+    ) -> None:
+        call = self.begin_call()
+        await asyncio.sleep(0.01)
+        self.begin_stop()
+        self.client.close()
+        answer = await self.get_answer(call)
+        self.assertEqual((answer.status, answer.retry_after_s), (503, 1))
+        self.assertIn("this host is stopping", answer.reason)
+        self.assertEqual(self.handler.stop_counters, {"refused": 1})
+
+    # Guards against the same for a call that the planner has, with seconds left: it may
+    # run, so that the answer must not be taken for a refusal.
+    async def test_outcome_of_a_call_that_was_sent_is_unknown_at_the_exit(self) -> None:
+        self.plan_with(SilentPlanner(self.member.address))
+        call = self.begin_call()
+        await asyncio.sleep(0.01)
+        self.begin_stop()
+        self.client.close()
+        answer = await self.get_answer(call)
+        self.assertEqual((answer.status, answer.retry_after_s), (504, 0))
+        self.assertIn("this host is stopping", answer.reason)
+        self.assertEqual(self.handler.stop_counters, {"unknown": 1})
+
+    async def test_call_after_the_last_responses_is_refused_at_once(self) -> None:
+        self.plan_with(FakePlanner(self.member.address))
+        self.begin_stop()
+        self.client.close()
+        answer = await self.get_answer(self.begin_call())
+        self.assertEqual(answer.status, 503)
+
+    async def test_stopping_host_serves_calls_while_there_is_a_planner(self) -> None:
+        self.plan_with(FakePlanner(self.member.address))
+        self.begin_stop()
+        answer = await self.get_answer(self.begin_call())
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(self.handler.stop_counters, {})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_planner_streams.py
+++ b/tests/test_planner_streams.py
@@ -13,6 +13,7 @@
 )
 from jacinthloom_daemon.hosted import clock, messages
 from jacinthloom_daemon.hosted.client_handler import ClientHandler
+from jacinthloom_daemon.hosted.planned_stop import PlannedStop
 from jacinthloom_daemon.hosted.planner_client import PlannerClient
 from jacinthloom_daemon.hosted.planner_server import PlannerServer
 from jacinthloom_daemon.hosted.streams import open_stream
@@ -79,7 +80,8 @@
 
 class ClientHandlerTest(unittest.IsolatedAsyncioTestCase):
     async def call_planner(self, budget_s: float) -> messages.Answer:
-        front = ClientHandler(cast("Any", None), cast("Any", SlowPlannerClient()))
+        planner_client = cast("Any", SlowPlannerClient())
+        front = ClientHandler(cast("Any", None), planner_client, PlannedStop(6.0))
         return await front._call_planner(messages.Show(0, "a" * 16), budget_s)
 
     async def test_call_with_a_short_time_budget_is_answered_in_time(
