Do not hand calls to a planner of the process that has ended

Cause: a planner that ends ignores events at once, but its process went on calling it until its loop ended, up to a tick later. Such calls were dropped, counted as sent, and so waited for a successor for all of their time budget. Change: before each call, and after each wait, the process leaves a local planner that has ended; the call then waits for a planner, and is refused with 503 if there is none in time. Failed before: test_call_to_a_planner_that_has_ended_was_not_sent (UnansweredError) and test_stopping_host_waits_for_the_successor_of_its_planner (not answered within 1 s). Result: both pass. Left: a call of another host that reaches the planner in the same moment still counts as sent; its host learns of the end when the stream closes.

--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_client.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_client.py
@@ -176,11 +176,19 @@
 
         :raises TimeoutError: if there is none in time
         """
+        self._drop_ended_planner()
         if self._connected.is_set():
             return
         async with self._limit(wait_s):
             while not self._connected.is_set():
                 await self._connected.wait()
+                self._drop_ended_planner()
+
+    def _drop_ended_planner(self) -> None:
+        """Stop calling a planner of this process that has ended and ignores calls."""
+        planner = self._local_planner
+        if planner is not None and planner.ended.is_set():
+            self.remove_local_planner(planner)
 
     @contextlib.asynccontextmanager
     async def _limit(self, seconds: float) -> AsyncIterator[None]:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -10,7 +10,11 @@
 from jacinthloom_daemon.hosted import clock, messages
 from jacinthloom_daemon.hosted.client_handler import ClientHandler
 from jacinthloom_daemon.hosted.planned_stop import PlannedStop
-from jacinthloom_daemon.hosted.planner_client import PlannerClient
+from jacinthloom_daemon.hosted.planner_client import (
+    NoPlannerError,
+    PlannerClient,
+    UnansweredError,
+)
 
 from tests.test_planner_streams import FakePlanner, Member
 
@@ -115,6 +119,32 @@
         self.assertEqual(answer.status, 200)
         self.assertEqual(self.handler.stop_counters, {})
 
+    # Guards against a call that is refused although the successor of a planner that was
+    # stopped could serve it.
+    async def test_stopping_host_waits_for_the_successor_of_its_planner(self) -> None:
+        planner = SilentPlanner(self.member.address)
+        self.plan_with(planner)
+        self.begin_stop()
+        planner.ended.set()
+        call = self.begin_call()
+        await asyncio.sleep(0.05)
+        self.plan_with(FakePlanner(self.member.address))
+        self.assertEqual((await self.get_answer(call)).status, 200)
+
+
+class EndedPlannerTest(unittest.IsolatedAsyncioTestCase):
+    # Guards against a call that counts as sent although the planner has ignored it, as
+    # it had ended: its caller was told that the outcome is unknown.
+    async def test_call_to_a_planner_that_has_ended_was_not_sent(self) -> None:
+        client = Member("m0").planner_client
+        planner = SilentPlanner("")
+        client.set_local_planner(cast("Any", planner))
+        with self.assertRaises(UnansweredError):
+            await client.call(SHOW, 0.05, 0.05)
+        planner.ended.set()
+        with self.assertRaises(NoPlannerError):
+            await client.call(SHOW, 0.05, 0.05)
+
 
 if __name__ == "__main__":
     unittest.main()
