Refuse calls on a stopping host at once if no planner will come

What callers saw: on the last of several hosts that are stopped, every refusal took 1.5 s, though nobody was left to plan. Cause: a call waits for a planner for as long as an election takes, also on a host that knows that none follows, or that an election has had its time; members did not tell that they stop, so a planner could even hand over to one that does. Change: members tell in their pings that they stop. They count neither as successors nor as larger hosts to hand over to. A planner that stops and has had its members for a second, none of which can take over, waits for no other planner until one claims. On a stopping host a call waits for a planner until 1.5 s after the last one was lost, not 1.5 s each.

--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/messages.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/messages.py
@@ -138,11 +138,13 @@
         that it has received
     :param without_authority_s: seconds for which the planner has had no authority over
         leases, as another one may have taken over
+    :param is_stopping: whether the member that sends it is stopping, and claims no term
     """
 
     reaches_store: bool = True
     number: int = 0
     without_authority_s: float = 0.0
+    is_stopping: bool = False
 
 
 PlannerCall = Submit | Cancel | Show | Count
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_client.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_client.py
@@ -82,6 +82,8 @@
         self._connected = asyncio.Event()
         self._disconnected_at = clock.now()
         self._open_timeouts: set[asyncio.Timeout] = set()
+        self._is_stopping = False
+        self._expects_planner = True
         self._is_closed = False
         self._newest_ping = messages.Ping()
         """Newest ping of the planner on the current stream."""
@@ -95,6 +97,7 @@
         if term is not None and term == self._term:
             return
         self._term = term
+        self._expects_planner = self._expects_planner or term is not None
         if self._connect_task is not None:
             self._connect_task.cancel()
             self._connect_task = None
@@ -164,13 +167,25 @@
         if self._is_closed:
             raise NoPlannerError
         try:
-            await self._wait_for_planner(wait_s)
+            await self._wait_for_planner(self._limit_wait(wait_s))
         except TimeoutError as error:
             raise NoPlannerError from error
         if self._local_planner is not None:
             return await self._call_local(self._local_planner, call, timeout_s)
         return await self._call_remote(call, timeout_s)
 
+    def _limit_wait(self, wait_s: float) -> float:
+        """Return for how long to wait for a planner.
+
+        On a stopping host only as long as an election takes: clients that are refused
+        here find a planner sooner through another host.
+        """
+        if not self._expects_planner:
+            return 0.0
+        if not self._is_stopping:
+            return wait_s
+        return min(wait_s, max(0.0, NOT_READY_AFTER_S - self.measure_outage_s()))
+
     async def _wait_for_planner(self, wait_s: float) -> None:
         """Wait until there is a planner to send calls to.
 
@@ -203,6 +218,15 @@
             finally:
                 self._open_timeouts.discard(timeout)
 
+    def begin_stop(self) -> None:
+        """Tell the planner that this host stops, and wait less for another planner."""
+        self._is_stopping = True
+        self._send_ping()
+
+    def expect_no_planner(self) -> None:
+        """Do not wait for a planner until another member claims."""
+        self._expects_planner = False
+
     def close(self) -> None:
         """End all calls now, and refuse later ones: the host is about to exit."""
         self._is_closed = True
@@ -280,6 +304,8 @@
         self._send(
             messages.Hello(self._member, self._address, self._election.processors)
         )
+        if self._is_stopping:
+            self._send_ping()
         pings = asyncio.create_task(self._ping())
         try:
             while True:
@@ -306,8 +332,15 @@
     async def _ping(self) -> None:
         while True:
             await asyncio.sleep(PING_INTERVAL_S)
-            reaches_store = self._election.reaches_store(clock.now())
-            self._send(messages.Ping(reaches_store, self._newest_ping.number))
+            self._send_ping()
+
+    def _send_ping(self) -> None:
+        ping = messages.Ping(
+            self._election.reaches_store(clock.now()),
+            self._newest_ping.number,
+            is_stopping=self._is_stopping,
+        )
+        self._send(ping)
 
     async def query_peers(self) -> None:
         """Query other members for a newer term while there is no planner.
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_server.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_server.py
@@ -76,6 +76,11 @@
         """Return the number of connected members."""
         return len(self._session_by_member)
 
+    @property
+    def has_successor(self) -> bool:
+        """Whether a connected member may become the next planner."""
+        return any(not s.is_stopping for s in self._session_by_member.values())
+
     def broadcast(self, message: messages.AnyMessage) -> None:
         """Send a message to every connected member."""
         for session in list(self._sessions):
@@ -189,12 +194,13 @@
         self.address = hello.address
         self.processors = hello.processors
         self.reaches_store = True
+        self.is_stopping = False
 
     @property
     def can_take_over(self) -> bool:
-        return self.reaches_store and self.runner.lease_authority.may_succeed(
-            self.address
-        )
+        if self.is_stopping or not self.reaches_store:
+            return False
+        return self.runner.lease_authority.may_succeed(self.address)
 
     def send(self, message: messages.AnyMessage) -> None:
         self._writer.write(messages.encode(message))
@@ -221,6 +227,7 @@
     def on_ping(self, ping: messages.Ping) -> None:
         """Record which ping the member has answered: it does not plan."""
         self.reaches_store = ping.reaches_store
+        self.is_stopping = ping.is_stopping
         sent_at = self._sent_at_by_ping.get(ping.number)
         if sent_at is not None:
             self.runner.lease_authority.on_ping_answered(self.address, sent_at)
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
@@ -52,6 +52,10 @@
 DRAIN_INTERVAL_S = 0.05
 """Seconds between two checks of the connections that a draining process has."""
 
+MEMBERS_CONNECTED_AFTER_S = 1.0
+"""Seconds from the begin of a term after which members that reach its planner are
+connected to it."""
+
 REACHABILITY_INTERVAL_S = 0.5
 """Seconds between two checks whether members reach the planner."""
 
@@ -149,15 +153,27 @@
         """Hand over, and serve clients until they have left or time is up."""
         stop = self._planned_stop
         self._election_follower.claims_enabled = False
+        self._planner_client.begin_stop()
         clients.drain()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(stop.compute_response_time_s()):
+                if self._is_last_planner():
+                    log.write("no_successor", node=self._settings.name)
+                    self._planner_client.expect_no_planner()
                 await self._hand_over()
                 await asyncio.sleep(DRAIN_S)
                 while clients.open_connections:
                     clients.close_idle(IDLE_TIMEOUT_S)
                     await asyncio.sleep(DRAIN_INTERVAL_S)
 
+    def _is_last_planner(self) -> bool:
+        """Whether this process plans, and no member is known that can take over."""
+        runner = self._runner
+        if runner is None or not runner.is_ready.is_set():
+            return False
+        is_settled = clock.now() - self._term_began_at > MEMBERS_CONNECTED_AFTER_S
+        return is_settled and not self._planner_server.has_successor
+
     async def _close(self, clients: HttpServer, *others: HttpServer) -> None:
         """Respond to the calls that are still open, then close all connections."""
         stop = self._planned_stop
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -15,11 +15,13 @@
 
 from jacinthloom_core.planner.election import Term
 from jacinthloom_core.planner.rules import Queue, Rules
+from jacinthloom_daemon.hosted import process as process_module
 from jacinthloom_daemon.hosted.environment import (
     PAST_USE_VARIABLE,
     read_past_use_half_life_s,
 )
 from jacinthloom_daemon.hosted.planner_runner import PlannerRunner
+from jacinthloom_daemon.hosted.planner_server import PlannerServer
 from jacinthloom_daemon.hosted.process import EntryProcess
 from jacinthloom_daemon.platform import topics
 from jacinthloom_daemon.platform.errors import FencedError, SettingsError
@@ -205,6 +207,20 @@
         self.assertIsNone(self.process._runner)
         self.assertEqual(self.store.topics, [topics.ELECTION])
 
+    # Guards against callers that wait for a planner though the last one has just ended.
+    async def test_planner_that_is_stopped_without_successors_expects_none(
+        self,
+    ) -> None:
+        self.begin_term(5)
+        (await self.wait_for_load(1)).set()
+        await self.wait_until_ready()
+        self.assertFalse(self.process._is_last_planner())  # members may connect yet
+        with mock.patch.object(process_module, "MEMBERS_CONNECTED_AFTER_S", 0.0):
+            self.assertTrue(self.process._is_last_planner())
+            successor = mock.PropertyMock(return_value=True)
+            with mock.patch.object(PlannerServer, "has_successor", successor):
+                self.assertFalse(self.process._is_last_planner())
+
     # Guards against changes that are lost in the moments around the load: before it
     # begins, and for the second of two terms.
     async def test_changes_between_two_terms_are_in_force(self) -> None:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import unittest
 from typing import Any, cast
 from unittest import mock
 
-from jacinthloom_daemon.hosted import clock, messages
+from jacinthloom_core.planner.election import Term
+from jacinthloom_daemon.hosted import clock, messages, planner_client
 from jacinthloom_daemon.hosted.client_handler import ClientHandler
 from jacinthloom_daemon.hosted.planned_stop import PlannedStop
 from jacinthloom_daemon.hosted.planner_client import (
@@ -73,6 +75,7 @@
 
     def begin_stop(self) -> None:
         self.stop.begin()
+        self.client.begin_stop()
 
     async def get_answer(self, call: asyncio.Task[messages.Answer]) -> messages.Answer:
         async with asyncio.timeout(1):
@@ -131,6 +134,37 @@
         self.plan_with(FakePlanner(self.member.address))
         self.assertEqual((await self.get_answer(call)).status, 200)
 
+    # Guards against calls that wait on a host that leaves and has no planner: each
+    # waited as long as an election takes, though one had had the time for it.
+    async def test_stopping_host_without_a_planner_refuses_at_once(self) -> None:
+        self.begin_stop()
+        with mock.patch.object(planner_client, "NOT_READY_AFTER_S", 0.5):
+            first, second = self.begin_call(), self.begin_call()
+            began_at = time.monotonic()
+            self.assertEqual((await self.get_answer(first)).status, 503)
+            self.assertEqual((await self.get_answer(second)).status, 503)
+            waited_s = time.monotonic() - began_at
+            began_at = time.monotonic()
+            self.assertEqual((await self.get_answer(self.begin_call())).status, 503)
+        self.assertLess(time.monotonic() - began_at, 0.2)
+        self.assertGreater(waited_s, 0.2)
+
+    async def test_no_call_waits_if_no_planner_is_expected(self) -> None:
+        planner = FakePlanner(self.member.address)
+        self.plan_with(planner)
+        self.client.expect_no_planner()
+        self.assertEqual((await self.get_answer(self.begin_call())).status, 200)
+        planner.ended.set()
+        self.assertEqual((await self.get_answer(self.begin_call())).status, 503)
+
+    async def test_calls_wait_again_once_another_member_has_claimed(self) -> None:
+        self.client.expect_no_planner()
+        self.client.set_term(Term(7, "m0", self.member.address))
+        call = self.begin_call()
+        await asyncio.sleep(0.05)
+        self.plan_with(FakePlanner(self.member.address))
+        self.assertEqual((await self.get_answer(call)).status, 200)
+
 
 class EndedPlannerTest(unittest.IsolatedAsyncioTestCase):
     # Guards against a call that counts as sent although the planner has ignored it, as
--- a/tests/test_planner_streams.py
+++ b/tests/test_planner_streams.py
@@ -233,6 +233,21 @@
         self.planner.lease_authority.on_renewed(now, voters)
         self.assertEqual(self.members[0].server.find_largest_processors(), 0.5)
 
+    # Guards against a planner that hands over to a host that is stopping, or lets calls
+    # wait for one, since members do not tell that they stop.
+    async def test_members_that_stop_are_no_successors(self) -> None:
+        await self.connect()
+        server = self.members[0].server
+        self.members[1].planner_client.begin_stop()
+        async with asyncio.timeout(5):
+            while server.find_largest_processors() == 2.0:
+                await asyncio.sleep(0.02)
+        self.assertTrue(server.has_successor)
+        self.members[2].planner_client.begin_stop()
+        async with asyncio.timeout(5):
+            while server.has_successor:
+                await asyncio.sleep(0.02)
+
     # Guards against a dead host that remains a voter for the rest of the term: its
     # newer stream ended first, and the older one had gone silent.
     async def test_host_is_lost_with_the_last_of_its_streams(self) -> None:
