Refuse requests that reach a daemon whose member has left

What callers saw: a request that the product's own daemon reads between the end of its member and the closing of its server got no answer; its connection closed five seconds later. Cause: a shell that has ended ignores events, and the call waited for their effect. Change: such a call is refused with `leaving`, and has not run. Failed before: test_request_after_the_end_is_refused (no answer within 1 s); it passes now. test_planned_stop_answers_running_requests shows the whole response when it fails: the one failure on record had the outcome `unknown`, which only the request coordinator gives, so it is not this fault; its reason is not known.

--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/shell.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/shell.py
@@ -158,6 +158,8 @@
 
         :param build: builds the event from call id, monotonic and wall-clock time
         """
+        if self._done.done():
+            return Refusal("leaving", "this entry host has shut down; use another")
         self._last_call += 1
         call = self._last_call
         answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
--- a/tests/test_process_faults.py
+++ b/tests/test_process_faults.py
@@ -190,7 +190,8 @@
         await asyncio.sleep(0.3)
         self.cluster.signal("e2", signal.SIGTERM)
         for status, response in await asyncio.gather(*calls):
-            self.assertEqual((status, response["outcome"]), (200, "answered"))
+            outcome = status, response["outcome"]
+            self.assertEqual(outcome, (200, "answered"), response)
         code = await asyncio.wait_for(self.cluster.process_by_name["e2"].wait(), 30)
         self.assertEqual(code, 0)
 
