Move the waits that a stop ends out of the planner client

Change: OpenWaits, beside the planned stop, limits waits and ends them; HttpServer.wait_until_left closes idle connections until all have left.

--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planned_stop.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planned_stop.py
@@ -3,9 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+from typing import TYPE_CHECKING
 
 from . import clock
 
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
 EXIT_MARGIN_S = 0.8
 """Seconds by which the process exits before the platform kills it."""
 
@@ -56,3 +61,30 @@
     def compute_exit_time_s(self) -> float:
         """Return the seconds until the process exits."""
         return max(0.0, self.exit_at - clock.now())
+
+
+class OpenWaits:
+    """Waits in progress, which a stop can end all at once."""
+
+    def __init__(self) -> None:
+        self._timeouts: set[asyncio.Timeout] = set()
+
+    @contextlib.asynccontextmanager
+    async def limit(self, seconds: float) -> AsyncIterator[None]:
+        """Limit the time of a wait.
+
+        :raises TimeoutError: if the time is over, or all waits are ended
+        """
+        async with asyncio.timeout(seconds) as timeout:
+            self._timeouts.add(timeout)
+            try:
+                yield
+            finally:
+                self._timeouts.discard(timeout)
+
+    def end(self) -> None:
+        """End all waits that are in progress."""
+        now = asyncio.get_running_loop().time()
+        for timeout in self._timeouts:
+            if not timeout.expired():
+                timeout.reschedule(now)
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_client.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_client.py
@@ -11,6 +11,7 @@
 from jacinthloom_core.planner.election import REPORT_UNREACHABLE_AFTER_S, Term
 
 from . import clock, log, messages
+from .planned_stop import OpenWaits
 from .streams import (
     CONNECT_TIMEOUT_S,
     PING_INTERVAL_S,
@@ -20,7 +21,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Awaitable, Callable
+    from collections.abc import Awaitable, Callable
 
     from jacinthloom_core.planner.election import Election
 
@@ -81,7 +82,7 @@
         self._connect_task: asyncio.Task[None] | None = None
         self._connected = asyncio.Event()
         self._disconnected_at = clock.now()
-        self._open_timeouts: set[asyncio.Timeout] = set()
+        self._open_waits = OpenWaits()
         self._is_stopping = False
         self._expects_planner = True
         self._is_closed = False
@@ -167,14 +168,14 @@
         if self._is_closed:
             raise NoPlannerError
         try:
-            await self._wait_for_planner(self._limit_wait(wait_s))
+            await self._wait_for_planner(self._shorten_wait(wait_s))
         except TimeoutError as error:
             raise NoPlannerError from error
         if self._local_planner is not None:
             return await self._call_local(self._local_planner, call, timeout_s)
         return await self._call_remote(call, timeout_s)
 
-    def _limit_wait(self, wait_s: float) -> float:
+    def _shorten_wait(self, wait_s: float) -> float:
         """Return for how long to wait for a planner.
 
         On a stopping host only as long as an election takes: clients that are refused
@@ -194,7 +195,7 @@
         self._drop_ended_planner()
         if self._connected.is_set():
             return
-        async with self._limit(wait_s):
+        async with self._open_waits.limit(wait_s):
             while not self._connected.is_set():
                 await self._connected.wait()
                 self._drop_ended_planner()
@@ -205,19 +206,6 @@
         if planner is not None and planner.ended.is_set():
             self.remove_local_planner(planner)
 
-    @contextlib.asynccontextmanager
-    async def _limit(self, seconds: float) -> AsyncIterator[None]:
-        """Limit the time of a wait, which ends sooner if the client is closed.
-
-        :raises TimeoutError: if the time is over
-        """
-        async with asyncio.timeout(seconds) as timeout:
-            self._open_timeouts.add(timeout)
-            try:
-                yield
-            finally:
-                self._open_timeouts.discard(timeout)
-
     def begin_stop(self) -> None:
         """Tell the planner that this host stops, and wait less for another planner."""
         self._is_stopping = True
@@ -230,16 +218,13 @@
     def close(self) -> None:
         """End all calls now, and refuse later ones: the host is about to exit."""
         self._is_closed = True
-        now = asyncio.get_running_loop().time()
-        for timeout in self._open_timeouts:
-            if not timeout.expired():
-                timeout.reschedule(now)
+        self._open_waits.end()
 
     async def _call_local(
         self, runner: PlannerRunner, call: messages.PlannerCall, timeout_s: float
     ) -> messages.Answer:
         try:
-            async with self._limit(timeout_s):
+            async with self._open_waits.limit(timeout_s):
                 return await runner.call(call)
         except TimeoutError as error:
             raise UnansweredError from error
@@ -258,7 +243,7 @@
         self._future_by_call[number] = future
         self._send(msgspec.structs.replace(call, call=number))
         try:
-            async with self._limit(timeout_s):
+            async with self._open_waits.limit(timeout_s):
                 return await future
         except TimeoutError as error:
             raise UnansweredError from error
--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/process.py
@@ -49,9 +49,6 @@
 IDLE_TIMEOUT_S = 1.0
 """Seconds without a call after which a draining process closes a connection."""
 
-DRAIN_INTERVAL_S = 0.05
-"""Seconds between two checks of the connections that a draining process has."""
-
 MEMBERS_CONNECTED_AFTER_S = 1.0
 """Seconds from the begin of a term after which members that reach its planner are
 connected to it."""
@@ -162,9 +159,7 @@
                     self._planner_client.expect_no_planner()
                 await self._hand_over()
                 await asyncio.sleep(DRAIN_S)
-                while clients.open_connections:
-                    clients.close_idle(IDLE_TIMEOUT_S)
-                    await asyncio.sleep(DRAIN_INTERVAL_S)
+                await clients.wait_until_left(IDLE_TIMEOUT_S)
 
     def _is_last_planner(self) -> bool:
         """Whether this process plans, and no member is known that can take over."""
--- a/packages/jacinthloom-wire/src/jacinthloom_wire/http_server.py
+++ b/packages/jacinthloom-wire/src/jacinthloom_wire/http_server.py
@@ -16,6 +16,9 @@
 READ_BYTES = 64 * 1024
 """Maximum bytes per read from a socket."""
 
+IDLE_CHECK_INTERVAL_S = 0.05
+"""Seconds between two checks for idle connections while a server waits for the last."""
+
 LAST_REQUEST_S = 0.05
 """Seconds that a connection of a closing server may stay idle: a request may be on its
 way, over a connection that was just opened or used."""
@@ -128,6 +131,15 @@
             if now - since >= idle_s and not timeout.expired():
                 timeout.reschedule(now)
 
+    async def wait_until_left(self, idle_s: float) -> None:
+        """Wait until no connection is open, and close those that become idle.
+
+        :param idle_s: seconds without a request after which a connection is idle
+        """
+        while self.open_connections:
+            self.close_idle(idle_s)
+            await asyncio.sleep(IDLE_CHECK_INTERVAL_S)
+
     async def close(self, grace_s: float = 5.0) -> int:
         """Stop accepting, let requests in flight end, then close connections.
 
