--- a/testkit/soak/checks.py
+++ b/testkit/soak/checks.py
@@ -5,7 +5,7 @@
 from collections import Counter, defaultdict
 from typing import TYPE_CHECKING
 
-from .observations import STORE
+from .observations import CALL_TIMEOUT_S, STORE
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -27,6 +27,9 @@
 COMPLETED_SLACK_S = 1.0
 """Seconds after a job was shown as completed from which none of its tasks starts."""
 
+LOSS_SLACK_S = 0.2
+"""Seconds after a call from which the end of its connection counts as a loss."""
+
 EVACUATE_S = 5.0
 CANCEL_S = 3.0
 VISIBLE_S = 3.0
@@ -51,6 +54,7 @@
         *_check_places(observations, runs_by_task),
         *_check_outages(observations, runs_by_task),
         *_check_probes(observations),
+        *_check_stops(observations),
     ]
 
 
@@ -259,6 +263,23 @@
     ]
 
 
+def _check_stops(observations: Observations) -> list[str]:
+    """Check that a process that is stopped responds to all calls that it has read."""
+    return [
+        f"LOST: {call.method} {call.path} at {call.ip} has no answer"
+        f" {call.ended_at - call.sent_at:.2f} s after it was sent,"
+        f" {call.ended_at - stop.began_at:.2f} s after SIGTERM"
+        for call in observations.unanswered_calls
+        for stop in observations.stops
+        if stop.ip == call.ip
+        and stop.began_at <= call.ended_at <= stop.ended_at + LOSS_SLACK_S
+        and LOSS_SLACK_S < call.ended_at - call.sent_at < CALL_TIMEOUT_S
+        and observations.is_calm_but_for_planned_work(
+            call.ip, call.sent_at, call.ended_at
+        )
+    ]
+
+
 def _check_probes(observations: Observations) -> list[str]:
     """Check that processes handle calls by a configuration that may be in force."""
     violations = []
--- a/testkit/soak/deployment.py
+++ b/testkit/soak/deployment.py
@@ -11,6 +11,7 @@
 from ..hosted.deployment import KEY, PREFIX, SERVICE, Deployment
 from ..hosted.network import NetworkStandIn
 from ..hosted.worker import GangRegistry, WorkerStandIn
+from .observations import PlannedStop
 from .workloads import (
     LARGE_KEY,
     LONGEST_RUN_S,
@@ -114,10 +115,14 @@
         """Return the addresses of the processes in an availability zone."""
         return frozenset(ip for ip, its in self.zone_by_ip.items() if its == zone)
 
-    def start_process(self, ip: str) -> None:
-        """Start an entry process."""
+    def start_process(self, ip: str, is_planned: bool = False) -> None:
+        """Start an entry process.
+
+        :param is_planned: whether the one before it had a planned stop
+        """
+        is_planned = is_planned or ip not in self.incarnation_by_ip
         self.incarnation_by_ip[ip] = self.incarnation_by_ip.get(ip, 0) + 1
-        self._observations.disturb(ip, STARTED_S)
+        self._observations.disturb(ip, STARTED_S, is_planned)
         super().start_process(ip)
 
     def is_running(self, ip: str) -> bool:
@@ -140,11 +145,25 @@
             process.send_signal(number)
         began_at = time.monotonic()
         await asyncio.to_thread(process.wait)
-        self._observations.disturbances.append((ip, began_at, time.monotonic()))
-        self._observations.disturb(ip, down_s)
+        ended_at = time.monotonic()
+        is_planned = number is signal.SIGTERM
+        observations = self._observations
+        observations.add_disturbance(ip, began_at, ended_at, is_planned)
+        if is_planned:
+            observations.stops.append(PlannedStop(ip, began_at, ended_at))
+        observations.disturb(ip, down_s, is_planned)
         await asyncio.sleep(down_s)
         if self.process_by_ip[ip] is process:
-            self.start_process(ip)
+            self.start_process(ip, is_planned)
+
+    async def signal_later(
+        self, ip: str, delay_s: float, number: signal.Signals
+    ) -> None:
+        """Send a signal to the process that runs now, unless it has ended by then."""
+        process = self.process_by_ip[ip]
+        await asyncio.sleep(delay_s)
+        if process.poll() is None:
+            process.send_signal(number)
 
     async def write_configuration(
         self, version: int, routes: frozenset[int], keys: frozenset[int]
--- a/testkit/soak/faults.py
+++ b/testkit/soak/faults.py
@@ -30,6 +30,9 @@
 LONGEST_DELAYED_S = 15.0
 """Seconds for which a worker counts as disturbed once its orders are to be delayed."""
 
+SIGNAL_AGAIN_SHARE = 0.4
+"""Share of the processes that get another signal while they are stopped."""
+
 MAX_STORE_OFFSET_S = 2.0
 """Seconds by which a zone loses the store earlier or later than the other zones."""
 
@@ -65,6 +68,7 @@
             "kill": self._kill,
             "kill_planner": self._kill_planner,
             "terminate": self._terminate,
+            "terminate_all": self._terminate_all,
             "herd_kill": self._herd_kill,
             "store_down": self._take_store_down,
             "kill_at_recovery": self._kill_at_recovery,
@@ -169,6 +173,29 @@
     async def _terminate(self) -> None:
         await self._restart(self._choose_ip(), signal.SIGTERM)
 
+    async def _terminate_all(self) -> None:
+        """Stop all processes, at once or in turn; some get further signals."""
+        random = self._random
+        gap_s = random.choice((0.0, random.uniform(0.0, 2.0)))
+        ips = self._deployment.ips
+        async with asyncio.TaskGroup() as group:
+            for ip in random.sample(ips, len(ips)):
+                group.create_task(self._stop(ip))
+                await asyncio.sleep(gap_s)
+
+    async def _stop(self, ip: str) -> None:
+        """Stop a process with SIGTERM, and perhaps signal it again meanwhile."""
+        random = self._random
+        with self._reserve(ip) as is_free:
+            if not is_free:
+                return
+            if random.random() < SIGNAL_AGAIN_SHARE:
+                number = random.choice((signal.SIGTERM, signal.SIGHUP))
+                delay_s = random.uniform(0.0, 2.0)
+                self._later(self._deployment.signal_later(ip, delay_s, number))
+            down_s = random.uniform(0.1, 2.0)
+            await self._deployment.restart(ip, down_s, signal.SIGTERM)
+
     async def _herd_kill(self) -> None:
         ips = [ip for ip in self._deployment.ips if self._random.random() < 0.6]
         await asyncio.gather(*(self._restart(ip, signal.SIGKILL) for ip in ips))
--- a/testkit/soak/observations.py
+++ b/testkit/soak/observations.py
@@ -11,6 +11,9 @@
 CONTACT_S = 3.0
 """Seconds without a disturbance after which a process and the store count as calm."""
 
+CALL_TIMEOUT_S = 4.0
+"""Seconds after which a client gives a call up."""
+
 STORE = "store"
 """Scope of the disturbances of the store itself."""
 
@@ -103,6 +106,26 @@
     ended_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class PlannedStop:
+    """A process that was stopped with SIGTERM, until it had exited."""
+
+    ip: str
+    began_at: float
+    ended_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class UnansweredCall:
+    """A call whose connection ended without a complete response."""
+
+    ip: str
+    method: str
+    path: str
+    sent_at: float
+    ended_at: float
+
+
 @dataclass(slots=True)
 class Observations:
     """Everything that the checks need, in monotonic seconds."""
@@ -115,6 +138,11 @@
     disturbances: list[tuple[str, float, float]] = field(default_factory=list)
     """Scope, begin and end of each disturbance."""
 
+    planned_work: set[tuple[str, float, float]] = field(default_factory=set)
+    """Those of the disturbances that are planned stops, or starts after no fault."""
+
+    stops: list[PlannedStop] = field(default_factory=list)
+    unanswered_calls: list[UnansweredCall] = field(default_factory=list)
     outages: list[Outage] = field(default_factory=list)
     preempted: list[str] = field(default_factory=list)
     """Tasks of which a run was stopped to make room for a gang."""
@@ -127,10 +155,29 @@
         now = time.monotonic()
         self.harms.append((worker, now, now + duration_s))
 
-    def disturb(self, scope: str, duration_s: float) -> None:
+    def disturb(self, scope: str, duration_s: float, is_planned: bool = False) -> None:
         """Record a disturbance that begins now."""
         now = time.monotonic()
-        self.disturbances.append((scope, now, now + duration_s))
+        self.add_disturbance(scope, now, now + duration_s, is_planned)
+
+    def add_disturbance(
+        self, scope: str, began_at: float, ended_at: float, is_planned: bool
+    ) -> None:
+        """Record a disturbance."""
+        disturbance = (scope, began_at, ended_at)
+        self.disturbances.append(disturbance)
+        if is_planned:
+            self.planned_work.add(disturbance)
+
+    def is_calm_but_for_planned_work(self, ip: str, since: float, until: float) -> bool:
+        """Whether nothing but planned stops has disturbed a process."""
+        return not any(
+            scope == ip
+            and began_at <= until
+            and ended_at >= since - CONTACT_S
+            and (scope, began_at, ended_at) not in self.planned_work
+            for scope, began_at, ended_at in self.disturbances
+        )
 
     def is_calm_beside(self, outage: Outage, worker: str, until: float) -> bool:
         """Whether an outage is all that has disturbed processes or a worker."""
--- a/testkit/soak/traffic.py
+++ b/testkit/soak/traffic.py
@@ -12,7 +12,7 @@
 
 from ..hosted.deployment import FRONT_PORT, KEY
 from .deployment import HOST
-from .observations import Job, Probe, Version
+from .observations import CALL_TIMEOUT_S, Job, Probe, UnansweredCall, Version
 
 if TYPE_CHECKING:
     from random import Random
@@ -23,7 +23,6 @@
     from .observations import Observations
     from .workloads import Workload
 
-CALL_TIMEOUT_S = 4.0
 BUDGET_MS = 3_000
 MAX_ATTEMPTS = 6
 
@@ -61,9 +60,13 @@
             ("X-Jacinthloom-Time-Budget-Ms", str(BUDGET_MS)),
         )
         data = b"" if body is None else json.dumps(body).encode()
+        sent_at = time.monotonic()
         try:
             return await client.request(method, path, data, headers, CALL_TIMEOUT_S)
-        except TransportError:
+        except TransportError as error:
+            if error.sent:
+                call = UnansweredCall(ip, method, path, sent_at, time.monotonic())
+                self._observations.unanswered_calls.append(call)
             return None
 
     def choose_ip(self, is_failed: bool = False) -> str:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -40,6 +40,12 @@
         kinds = ("changes_at_takeover", "quiet")
         await self.run_seed(SoakSettings(11, 3, 8, SECONDS, 1, 6, kinds=kinds))
 
+    # Guards against calls that a process has read and does not answer, since it is
+    # stopped while they wait (review/9).
+    async def test_rules_hold_while_all_processes_are_stopped(self) -> None:
+        kinds = ("terminate_all",)
+        await self.run_seed(SoakSettings(905, 3, 8, 6.0, 1, 24, kinds=kinds))
+
     # Guards against tasks that run again after an outage, and a configuration that is
     # skipped since its record was deleted: what the operators of real processes saw.
     async def test_rules_hold_beside_outages_and_deleted_records(self) -> None:
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -12,7 +12,11 @@
 
 from testkit.hosted.worker import CHECKPOINT_S, GangRegistry, Run, WorkerStandIn
 from testkit.soak.checks import find_violations
-from testkit.soak.observations import Observations
+from testkit.soak.observations import (
+    Observations,
+    PlannedStop,
+    UnansweredCall,
+)
 from testkit.soak.workloads import BATCHES, GANGS, find_gang_size, saves_checkpoints
 
 ENDS_AT = 9.0
@@ -66,6 +70,32 @@
         self.assertEqual(self.find_rules(), {"PREEMPTED", "MIXED"})
 
 
+class StopChecksTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.observations = Observations()
+        self.observations.stops.append(PlannedStop("ip1", 10.0, 12.2))
+        self.observations.add_disturbance("ip1", 10.0, 12.2, is_planned=True)
+
+    def find_losses(self, ip: str, sent_at: float, ended_at: float) -> list[str]:
+        call = UnansweredCall(ip, "GET", "/checks/1", sent_at, ended_at)
+        self.observations.unanswered_calls = [call]
+        return find_violations(self.observations, [])
+
+    # Guards against a soak that passes while stopped processes cut off calls.
+    def test_call_without_an_answer_from_a_stopped_process_is_found(self) -> None:
+        (loss,) = self.find_losses("ip1", 11.0, 12.2)
+        self.assertTrue(loss.startswith("LOST: GET /checks/1 at ip1"), loss)
+
+    def test_calls_that_were_hardly_read_or_given_up_are_not_counted(self) -> None:
+        self.assertEqual(self.find_losses("ip1", 12.1, 12.2), [])
+        self.assertEqual(self.find_losses("ip1", 8.1, 12.2), [])
+        self.assertEqual(self.find_losses("ip2", 11.0, 12.2), [])
+
+    def test_stop_beside_a_fault_of_the_process_is_not_counted(self) -> None:
+        self.observations.add_disturbance("ip1", 7.0, 9.0, is_planned=False)
+        self.assertEqual(self.find_losses("ip1", 11.0, 12.2), [])
+
+
 class WorkloadWorkerTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         gangs = GangRegistry(find_gang_size)
