Never count a call as sent without a stream

Cause: with the waits moved, nothing checked any more that there is a stream when a call is sent; a call without one would have counted as sent. Change: the check is back, and such a call is refused as not sent.

--- a/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_client.py
+++ b/packages/jacinthloom-daemon/src/jacinthloom_daemon/hosted/planner_client.py
@@ -236,6 +236,8 @@
     async def _call_remote(
         self, call: messages.PlannerCall, timeout_s: float
     ) -> messages.Answer:
+        if self._writer is None:
+            raise NoPlannerError
         number = next(self._call_numbers)
         future: asyncio.Future[messages.Answer] = (
             asyncio.get_running_loop().create_future()
