Wait for accepted connections before a closing server counts its requests

What callers saw: a call could be read and refused after the `stop` line of a host, while its process exited; whether the response got out was luck. A connection whose accept was under way could hang until then. Cause: asyncio takes four iterations of the event loop from accepting a connection to its task; close() waited for one, and closing the listener in between makes asyncio drop the connection (an assertion in its debug log). Change: the server stops accepting, lets eight iterations pass, and then closes its listener. Failed before: test_no_request_is_read_after_close, after three iterations.

--- a/packages/jacinthloom-wire/src/jacinthloom_wire/http_server.py
+++ b/packages/jacinthloom-wire/src/jacinthloom_wire/http_server.py
@@ -19,6 +19,10 @@
 IDLE_CHECK_INTERVAL_S = 0.05
 """Seconds between two checks for idle connections while a server waits for the last."""
 
+ACCEPT_ITERATIONS = 8
+"""Iterations of the event loop after which the task of an accepted connection has
+started; asyncio takes four."""
+
 LAST_REQUEST_S = 0.05
 """Seconds that a connection of a closing server may stay idle: a request may be on its
 way, over a connection that was just opened or used."""
@@ -147,18 +151,26 @@
         :returns: number of requests that were read, and whose responses were cut off
         """
         self._closing = True
-        if self._server is not None:
-            self._server.close()
+        await self._stop_accepting()
         for timeout, since in self._idle_since_by_timeout.items():
             if not timeout.expired():
                 timeout.reschedule(since + LAST_REQUEST_S)
-        await asyncio.sleep(0)  # starts the tasks of connections that were just opened
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=grace_s)
         for task in self._tasks:
             task.cancel()
         return self._unanswered
 
+    async def _stop_accepting(self) -> None:
+        """Stop listening, once every connection that was accepted has its task."""
+        if self._server is None:
+            return
+        for listener in self._server.sockets:
+            asyncio.get_running_loop().remove_reader(listener.fileno())
+        for _ in range(ACCEPT_ITERATIONS):
+            await asyncio.sleep(0)
+        self._server.close()
+
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -115,6 +115,27 @@
             self.assertEqual(await self.read_status(reader), b"HTTP/1.1 200")
             self.assertEqual(await closed, 0)
 
+    # Guards against a request that is read after the server was closed, as the process
+    # exits: its connection had been accepted, but its task had not started.
+    async def test_no_request_is_read_after_close(self) -> None:
+        host, _, port = self.address.rpartition(":")
+        for iterations in range(8):
+            with self.subTest(iterations=iterations), socket.socket() as client:
+                self.received = 0
+                server = RecordingServer(self.respond)
+                _, _, port = (await server.start("127.0.0.1:0")).rpartition(":")
+                client.connect((host, int(port)))
+                client.sendall(REQUEST)
+                for _ in range(iterations):
+                    await asyncio.sleep(0)
+                self.assertEqual(await server.close(1.0), 0)
+                received = self.received
+                await asyncio.sleep(0.05)
+                self.assertEqual(self.received, received)
+                if received:
+                    client.settimeout(1.0)
+                    self.assertTrue(client.recv(100).startswith(b"HTTP/1.1 200"))
+
     # Guards against a response that is lost as the process ends before a slow client
     # has received it.
     async def test_close_waits_until_a_slow_client_has_received_its_response(
