Do not count the time in which a soak stood still as a loss

Cause: the check of calls to stopped hosts takes a connection that ends 0.2 s after its call for a loss. A soak that stands still sees ends late. Change: a monitor records when the event loop of a test stands still for 0.1 s or more; that time does not count. The bounds stay.

--- a/testkit/soak/observations.py
+++ b/testkit/soak/observations.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from ..hosted.deployment import KEY, PREFIX
+from ..hosted.stalls import StallMonitor
 
 CONTACT_S = 3.0
 """Seconds without a disturbance after which a process and the store count as calm."""
@@ -143,6 +144,7 @@
 
     stops: list[PlannedStop] = field(default_factory=list)
     unanswered_calls: list[UnansweredCall] = field(default_factory=list)
+    stalls: StallMonitor = field(default_factory=StallMonitor)
     outages: list[Outage] = field(default_factory=list)
     preempted: list[str] = field(default_factory=list)
     """Tasks of which a run was stopped to make room for a gang."""
--- a/testkit/soak/soak.py
+++ b/testkit/soak/soak.py
@@ -146,6 +146,7 @@
         clients.append(client)
         return client
 
+    monitor = asyncio.create_task(observations.stalls.run())
     try:
         await deployment.start()
         await deployment.find_planner()
@@ -171,6 +172,7 @@
         await _wait_for_jobs(observations, prober, settings.finish_s)
         lines = [line for ip in deployment.ips for line in deployment.read_log(ip)]
     finally:
+        monitor.cancel()
         if logs:  # also those of a deployment that did not start
             folder = Path(logs) / f"seed-{settings.seed}"
             shutil.copytree(deployment.log_folder, folder, dirs_exist_ok=True)
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -91,6 +91,12 @@
         self.assertEqual(self.find_losses("ip1", 8.1, 12.2), [])
         self.assertEqual(self.find_losses("ip2", 11.0, 12.2), [])
 
+    # Guards against losses that are reported since the soak itself did not run.
+    def test_time_in_which_the_soak_stood_still_does_not_count(self) -> None:
+        self.observations.stalls.add(11.0, 11.9)
+        self.assertEqual(self.find_losses("ip1", 11.0, 12.05), [])
+        self.assertEqual(len(self.find_losses("ip1", 11.0, 12.2)), 1)
+
     def test_stop_beside_a_fault_of_the_process_is_not_counted(self) -> None:
         self.observations.add_disturbance("ip1", 7.0, 9.0, is_planned=False)
         self.assertEqual(self.find_losses("ip1", 11.0, 12.2), [])
