--- /dev/null
+++ b/review/standins3/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the cases of the third review."""
