--- a/review/standins3/fleet.py
+++ b/review/standins3/fleet.py
@@ -24,9 +24,13 @@
 from testkit.loopback import reserve_loopback_ip
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
     from jacinthloom_wire.http_client import Response
     from testkit.hosted.worker import WorkerStandIn
 
+    from .slow_link import SlowLink
+
 ROOT = Path(__file__).resolve().parents[2]
 KEY = "key-of-team"
 HOST = "jobs.example"
@@ -116,7 +120,7 @@
 class Fleet:
     """Entry processes, workers and the store.
 
-    :param make_worker: returns the worker with a number
+    :param link: the way of the processes to the store; None if they reach it directly
     """
 
     def __init__(
@@ -126,12 +130,14 @@
         workers: list[WorkerStandIn],
         store: LogStoreStandIn | None = None,
         max_attempts: int = 2,
+        link: SlowLink | None = None,
     ) -> None:
         self.record = record
         self.store = store or LogStoreStandIn()
         self.store.latency_s = STORE_LATENCY_S
         self.workers = workers
         self._max_attempts = max_attempts
+        self._link = link
         self._folder = tempfile.TemporaryDirectory()
         self.ips = [reserve_loopback_ip() for _ in range(processes)]
         self._store_address = ""
@@ -140,6 +146,8 @@
     async def start(self) -> None:
         """Start everything and wait until all processes are ready."""
         self._store_address = await self.store.start()
+        if self._link is not None:
+            self._store_address = await self._link.start(self._store_address)
         await self.store.put("keyed.op", "config", self._encode_configuration())
         for worker in self.workers:
             await worker.start()
@@ -313,10 +321,22 @@
                 (Path(keep) / f"{ip}.log").write_bytes(self._log(ip).read_bytes())
         for worker in self.workers:
             await worker.close()
+        if self._link is not None:
+            await self._link.close()
         await self.store.close()
         self._folder.cleanup()
 
 
+def run(run_case: Callable[[Record], Coroutine[Any, Any, int]], folder: Path) -> int:
+    """Run a case, and return its exit code: 2 if it raises."""
+    record = Record(folder / "record.txt")
+    try:
+        return asyncio.run(run_case(record))
+    except Exception as error:
+        record.write(f"the case could not run: {type(error).__name__}: {error}")
+        return NOT_RUN
+
+
 def is_troubled() -> bool:
     """Whether the disruption takes place: not with ``TROUBLE=0``."""
     return os.environ.get("TROUBLE", "1") != "0"
