--- a/review/14/case.py
+++ b/review/14/case.py
@@ -7,7 +7,15 @@
 import time
 from pathlib import Path
 
-from review.standins3.fleet import BROKEN, HELD, NOT_RUN, Fleet, Record, is_troubled, run
+from review.standins3.fleet import (
+    BROKEN,
+    HELD,
+    NOT_RUN,
+    Fleet,
+    Record,
+    execute,
+    is_troubled,
+)
 from testkit.hosted.worker import Run, WorkerStandIn
 
 JOB = "5c0e7a21d94b36f8"
@@ -84,7 +92,9 @@
         late = {t: g for t, g in gap_by_task.items() if g[0] > RESTART_S + IDLE_S}
         for task, (gap_s, began_at) in sorted(late.items()):
             began_s = record.measure_s(began_at)
-            record.write(f"{task} had nothing running for {gap_s:.1f} s from {began_s:.1f} s")
+            record.write(
+                f"{task} had nothing running for {gap_s:.1f} s from {began_s:.1f} s"
+            )
         record.write(
             f"{len(late)} of {len(gap_by_task)} tasks waited more than "
             f"{RESTART_S + IDLE_S:.0f} s; at most 30 of 128 cores were in use"
@@ -98,4 +108,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run(run_case, Path(__file__).parent))
+    sys.exit(execute(run_case, Path(__file__).parent))
--- a/review/standins3/fleet.py
+++ b/review/standins3/fleet.py
@@ -20,6 +20,7 @@
 
 from jacinthloom_wire.errors import TransportError
 from jacinthloom_wire.http_client import HttpClient
+
 from testkit.hosted.log_store import LogStoreStandIn
 from testkit.loopback import reserve_loopback_ip
 
@@ -27,6 +28,7 @@
     from collections.abc import Callable, Coroutine
 
     from jacinthloom_wire.http_client import Response
+
     from testkit.hosted.worker import WorkerStandIn
 
     from .slow_link import SlowLink
@@ -208,7 +210,9 @@
             )
         )
         environment = {
-            name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
+            name: os.environ[name]
+            for name in ("PATH", "HOME", "LANG")
+            if name in os.environ
         }
         environment |= role["env"]
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
@@ -251,7 +255,9 @@
     async def _is_ready(self, ip: str) -> bool:
         client = HttpClient(f"{ip}:{READY_PORT}")
         try:
-            return (await client.request("GET", "/readiness", timeout=1.0)).status == 200
+            return (
+                await client.request("GET", "/readiness", timeout=1.0)
+            ).status == 200
         except TransportError:
             return False
         finally:
@@ -327,7 +333,9 @@
         self._folder.cleanup()
 
 
-def run(run_case: Callable[[Record], Coroutine[Any, Any, int]], folder: Path) -> int:
+def execute(
+    run_case: Callable[[Record], Coroutine[Any, Any, int]], folder: Path
+) -> int:
     """Run a case, and return its exit code: 2 if it raises."""
     record = Record(folder / "record.txt")
     try:
--- a/review/standins3/slow_link.py
+++ b/review/standins3/slow_link.py
@@ -66,9 +66,7 @@
             task.cancel()
 
 
-async def _pass_on(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-) -> None:
+async def _pass_on(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     with contextlib.suppress(OSError):
         while data := await reader.read(READ_BYTES):
             writer.write(data)
