--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,4 +1,4 @@
-"""Lasting tasks of which each fails once, at different times."""
+"""A worker is lost soon after it has started lasting tasks of many jobs."""
 
 from __future__ import annotations
 
@@ -18,11 +18,14 @@
 )
 from testkit.hosted.worker import Run, WorkerStandIn
 
-JOB = "5c0e7a21d94b36f8"
-TASKS = 120
-FIRST_FAILURE_S = 5.0
-LAST_FAILURE_S = 50.0
-WATCHED_S = 75.0
+JOBS = [f"{number:016x}" for number in range(0x100, 0x100 + 160)]
+AGE_AT_LOSS_S = 0.3
+"""Age of the newest run on the worker at its loss."""
+
+SILENCE_S = 4.5
+"""Seconds of silence after which the entry of a worker is removed."""
+
+WATCHED_S = 45.0
 LASTS_S = 100_000.0
 
 RESTART_S = 6.0
@@ -32,72 +35,69 @@
 """Seconds for which it may then have nothing running."""
 
 
-class FailingWorker(WorkerStandIn):
-    """A worker whose tasks last; the first run of each fails after its own time."""
+class LastingWorker(WorkerStandIn):
+    """A worker whose tasks run until they are stopped or it is lost."""
 
     def __init__(self, name: str) -> None:
-        super().__init__(name, run_s=LASTS_S)
+        super().__init__(name, run_s=LASTS_S, labels=("a", f"r1-{name}"))
         self.capacity = {"cpu": 32000, "memMb": 65536, "gpu": 0}
 
     def _compute_percent(self, run: Run) -> int:
         return 100
 
-    def begin_work(self, run: Run) -> None:
-        """Begin the work of a run; the first one of a task fails later."""
-        super().begin_work(run)
-        if run.run == 1 and is_troubled():
-            position = int(run.task.rpartition(".")[2])
-            spread_s = (LAST_FAILURE_S - FIRST_FAILURE_S) * position / (TASKS - 1)
-            loop = asyncio.get_running_loop()
-            loop.call_later(FIRST_FAILURE_S + spread_s, self._end, run, "failed")
-
 
-def measure_gaps(fleet: Fleet, until: float) -> dict[str, tuple[float, float]]:
-    """Return the longest time that each task had nothing running, and its begin."""
+def group_runs(fleet: Fleet) -> dict[str, list[Run]]:
+    """Return the runs of each task in the order of their start."""
     runs_by_task: dict[str, list[Run]] = {}
     for worker in fleet.workers:
         for run in worker.runs:
             runs_by_task.setdefault(run.task, []).append(run)
-    gap_by_task = {}
-    for task, runs in runs_by_task.items():
+    for runs in runs_by_task.values():
         runs.sort(key=lambda run: run.began_at)
-        begins = [run.began_at for run in runs[1:]] + [until]
-        gaps = [
-            (begin - run.ended_at, run.ended_at)
-            for run, begin in zip(runs, begins, strict=True)
-            if run.kind
-        ]
-        gap_by_task[task] = max(gaps, default=(0.0, 0.0))
-    return gap_by_task
+    return runs_by_task
 
 
 async def run_case(record: Record) -> int:
     """Run the case and return the exit code."""
-    fleet = Fleet(record, 2, [FailingWorker(f"i-{n}") for n in range(4)])
+    fleet = Fleet(record, 2, [LastingWorker(f"i-{n}") for n in range(8)])
     try:
         await fleet.start()
-        step = {"count": TASKS, "cpu": 250, "memMb": 128, "estRuntimeMs": 5000}
+        await asyncio.sleep(3.0)
+        step = {"count": 1, "cpu": 250, "memMb": 128, "estRuntimeMs": 5000}
         body = {"spec": "service", "steps": [step | {"longRunning": True}]}
-        response = await fleet.call(fleet.ips[0], "POST", JOB, body)
-        if response is None or response.status != 200:
-            return NOT_RUN
-        await asyncio.sleep(4.0)
-        if sum(len(worker.runs) for worker in fleet.workers) < TASKS:
+        calls = [
+            fleet.call(fleet.ips[number % 2], "POST", job, body)
+            for number, job in enumerate(JOBS)
+        ]
+        responses = await asyncio.gather(*calls)
+        if any(r is None or r.status != 200 for r in responses):
             return NOT_RUN
-        await asyncio.sleep(WATCHED_S - 4.0)
-        await fleet.get_state(fleet.ips[1], JOB)
+        while sum(len(worker.runs) for worker in fleet.workers) < len(JOBS):
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(AGE_AT_LOSS_S)
+        lost = fleet.workers[0]
+        if is_troubled():
+            record.write(f"{lost.id} is lost for good, with {len(lost.runs)} tasks")
+            await lost.crash()
+            await asyncio.sleep(SILENCE_S)
+            await fleet.unlist_worker(lost)
+        await asyncio.sleep(WATCHED_S)
         until = time.monotonic()
-        fleet.write_runs(JOB)
-        gap_by_task = measure_gaps(fleet, until)
-        late = {t: g for t, g in gap_by_task.items() if g[0] > RESTART_S + IDLE_S}
-        for task, (gap_s, began_at) in sorted(late.items()):
-            began_s = record.measure_s(began_at)
-            record.write(
-                f"{task} had nothing running for {gap_s:.1f} s from {began_s:.1f} s"
-            )
+        late = 0
+        for task, runs in sorted(group_runs(fleet).items()):
+            if len(runs) > 1 or runs[0].kind:
+                fleet.write_runs(task.partition(".")[0])
+            begins = [run.began_at for run in runs[1:]] + [until]
+            for run, begin in zip(runs, begins, strict=True):
+                if run.kind and begin - run.ended_at > RESTART_S + IDLE_S:
+                    late += 1
+                    record.write(
+                        f"{task} had nothing running for {begin - run.ended_at:.1f} s "
+                        f"from {record.measure_s(run.ended_at):.1f} s"
+                    )
         record.write(
-            f"{len(late)} of {len(gap_by_task)} tasks waited more than "
-            f"{RESTART_S + IDLE_S:.0f} s; at most 30 of 128 cores were in use"
+            f"{late} of {len(JOBS)} lasting tasks waited more than "
+            f"{RESTART_S + IDLE_S:.0f} s; 40 of 224 cores were in use"
         )
         if late:
             record.write("LOST is broken: lasting tasks are kept waiting")
--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -4,6 +4,8 @@
 [ -d target/deps/jacinthloom_daemon ] || exit 2
 export PYTHONPATH="$PWD/target/deps:$PWD" PYTHONDONTWRITEBYTECODE=1
 timeout -k 5 115 python3 -m review.14.case
-status=$?
-[ "$status" -le 2 ] && exit "$status"
-exit 2
+case $? in
+10) exit 0 ;;
+11) exit 1 ;;
+*) exit 2 ;;
+esac
--- a/review/standins3/fleet.py
+++ b/review/standins3/fleet.py
@@ -44,8 +44,8 @@
 
 START_TIMEOUT_S = 20.0
 
-HELD, BROKEN, NOT_RUN = 0, 1, 2
-"""Exit codes of a case."""
+HELD, BROKEN, NOT_RUN = 10, 11, 12
+"""Exit codes of a case; `run.sh` turns them into 0, 1 and 2, and all others into 2."""
 
 SETTINGS = """\
 node={name}
@@ -336,15 +336,21 @@
 def execute(
     run_case: Callable[[Record], Coroutine[Any, Any, int]], folder: Path
 ) -> int:
-    """Run a case, and return its exit code: 2 if it raises."""
+    """Run a case, and return its exit code; it ends its processes on SIGTERM, too."""
     record = Record(folder / "record.txt")
     try:
-        return asyncio.run(run_case(record))
-    except Exception as error:
+        return asyncio.run(_run_until_terminated(run_case(record)))
+    except (Exception, asyncio.CancelledError) as error:
         record.write(f"the case could not run: {type(error).__name__}: {error}")
         return NOT_RUN
 
 
+async def _run_until_terminated(case: Coroutine[Any, Any, int]) -> int:
+    task = asyncio.create_task(case)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await task
+
+
 def is_troubled() -> bool:
     """Whether the disruption takes place: not with ``TROUBLE=0``."""
     return os.environ.get("TROUBLE", "1") != "0"
