--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,4 +1,4 @@
-"""A worker is lost soon after it has started lasting tasks of many jobs."""
+"""Jobs of many steps, after which no planner keeps its term."""
 
 from __future__ import annotations
 
@@ -16,91 +16,87 @@
     execute,
     is_troubled,
 )
-from testkit.hosted.worker import Run, WorkerStandIn
+from testkit.hosted.worker import WorkerStandIn
 
-JOBS = [f"{number:016x}" for number in range(0x100, 0x100 + 160)]
-AGE_AT_LOSS_S = 0.3
-"""Age of the newest run on the worker at its loss."""
+LARGE_JOBS = [f"{number:016x}" for number in range(0x100, 0x100 + 7)]
+STEPS = 700
+"""Steps of one task each; without the disruption, one step of as many tasks."""
 
-SILENCE_S = 4.5
-"""Seconds of silence after which the entry of a worker is removed."""
-
-WATCHED_S = 45.0
-LASTS_S = 100_000.0
-
-RESTART_S = 6.0
-"""Seconds after its last run from which a lasting task may not be kept waiting."""
+SMALL_JOBS = [f"{number:016x}" for number in range(0x10, 0x18)]
+RUN_S = 2.0
+ATTEMPTS = 5
+FINISH_S = 14.0
+WATCHED_S = 6.0
 
 IDLE_S = 3.0
-"""Seconds for which it may then have nothing running."""
+"""Seconds for which accepted jobs may have nothing running on idle workers."""
 
 
-class LastingWorker(WorkerStandIn):
-    """A worker whose tasks run until they are stopped or it is lost."""
+class Worker(WorkerStandIn):
+    """A worker with a usual capacity."""
 
     def __init__(self, name: str) -> None:
-        super().__init__(name, run_s=LASTS_S, labels=("a", f"r1-{name}"))
+        super().__init__(name, run_s=RUN_S)
         self.capacity = {"cpu": 32000, "memMb": 65536, "gpu": 0}
 
-    def _compute_percent(self, run: Run) -> int:
-        return 100
-
 
-def group_runs(fleet: Fleet) -> dict[str, list[Run]]:
-    """Return the runs of each task in the order of their start."""
-    runs_by_task: dict[str, list[Run]] = {}
-    for worker in fleet.workers:
-        for run in worker.runs:
-            runs_by_task.setdefault(run.task, []).append(run)
-    for runs in runs_by_task.values():
-        runs.sort(key=lambda run: run.began_at)
-    return runs_by_task
+async def submit(fleet: Fleet, job: str, steps: list[dict[str, object]]) -> bool:
+    """Submit a job, again at another process if need be; return if it is accepted."""
+    for attempt in range(ATTEMPTS):
+        ip = fleet.ips[attempt % len(fleet.ips)]
+        response = await fleet.call(ip, "POST", job, {"spec": "work", "steps": steps})
+        if response is not None and response.status == 200:
+            return True
+        if response is not None and response.status < 500:
+            return False
+        await asyncio.sleep(0.5)
+    return False
 
 
 async def run_case(record: Record) -> int:
     """Run the case and return the exit code."""
-    fleet = Fleet(record, 2, [LastingWorker(f"i-{n}") for n in range(8)])
+    fleet = Fleet(record, 3, [Worker(f"i-{n}") for n in range(8)])
     try:
         await fleet.start()
-        await asyncio.sleep(3.0)
-        step = {"count": 1, "cpu": 250, "memMb": 128, "estRuntimeMs": 5000}
-        body = {"spec": "service", "steps": [step | {"longRunning": True}]}
-        calls = [
-            fleet.call(fleet.ips[number % 2], "POST", job, body)
-            for number, job in enumerate(JOBS)
-        ]
-        responses = await asyncio.gather(*calls)
-        if any(r is None or r.status != 200 for r in responses):
+        task: dict[str, object] = {"cpu": 8000, "memMb": 512, "estRuntimeMs": 2000}
+        large = [task | {"count": 1} for _ in range(STEPS)]
+        if not is_troubled():
+            large = [task | {"count": STEPS}]
+        began_at = time.monotonic()
+        accepted = []
+        for job in LARGE_JOBS:
+            if time.monotonic() - began_at < 35.0 and await submit(fleet, job, large):
+                accepted.append(job)
+        for job in SMALL_JOBS:
+            small = [task | {"count": 2}]
+            if time.monotonic() - began_at < 45.0 and await submit(fleet, job, small):
+                accepted.append(job)
+        record.write(f"the traffic ends; {len(accepted)} jobs are accepted")
+        if not accepted:
             return NOT_RUN
-        while sum(len(worker.runs) for worker in fleet.workers) < len(JOBS):
-            await asyncio.sleep(0.02)
-        await asyncio.sleep(AGE_AT_LOSS_S)
-        lost = fleet.workers[0]
-        if is_troubled():
-            record.write(f"{lost.id} is lost for good, with {len(lost.runs)} tasks")
-            await lost.crash()
-            await asyncio.sleep(SILENCE_S)
-            await fleet.unlist_worker(lost)
-        await asyncio.sleep(WATCHED_S)
-        until = time.monotonic()
-        late = 0
-        for task, runs in sorted(group_runs(fleet).items()):
-            if len(runs) > 1 or runs[0].kind:
-                fleet.write_runs(task.partition(".")[0])
-            begins = [run.began_at for run in runs[1:]] + [until]
-            for run, begin in zip(runs, begins, strict=True):
-                if run.kind and begin - run.ended_at > RESTART_S + IDLE_S:
-                    late += 1
-                    record.write(
-                        f"{task} had nothing running for {begin - run.ended_at:.1f} s "
-                        f"from {record.measure_s(run.ended_at):.1f} s"
-                    )
+        await asyncio.sleep(FINISH_S)
+        longest_s, idle_since = 0.0, time.monotonic()
+        until = time.monotonic() + WATCHED_S
+        while time.monotonic() < until:
+            runs = sum(not r.kind for w in fleet.workers for r in w.runs)
+            if runs:
+                idle_since = time.monotonic()
+            longest_s = max(longest_s, time.monotonic() - idle_since)
+            await asyncio.sleep(0.05)
+        states = [await fleet.get_state(fleet.ips[0], job) for job in accepted[-3:]]
+        for job in SMALL_JOBS:
+            fleet.write_runs(job)
+        done = sum(r.kind == "done" for w in fleet.workers for r in w.runs)
+        lapsed = sum(r.kind == "lapsed" for w in fleet.workers for r in w.runs)
+        lines = [line for ip in fleet.ips for line in fleet.read_log(ip)]
+        terms = sum(line["event"] == "term_begun" for line in lines)
+        total = STEPS * len(LARGE_JOBS)
         record.write(
-            f"{late} of {len(JOBS)} lasting tasks waited more than "
-            f"{RESTART_S + IDLE_S:.0f} s; 40 of 224 cores were in use"
+            f"{done} tasks done, {lapsed} lapsed; {terms} terms; states {states}; all "
+            f"workers idle for {longest_s:.1f} s of the last {WATCHED_S:.0f} s"
         )
-        if late:
-            record.write("LOST is broken: lasting tasks are kept waiting")
+        if longest_s > IDLE_S and done < total:
+            record.write("LOST is broken: accepted jobs have nothing running")
             return BROKEN
         return HELD
     finally:
