planner: a cancel counts as stored only with a batch that was encoded after it

Callers saw: a job that was cancelled while its submission was being stored got 200 to a second cancel, and was shown as cancelled, before the cancel was stored.

Cause: the acknowledgement of a batch marked the final state of each of its jobs as stored by the state in memory, which was newer than what the batch had encoded. Change: a batch keeps which final states its latest encoding has, and only these count. An exhaustive search over the orders of ten events around one job compares what callers and workers were told with what a successor loads; five mutants show what it detects.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/batches.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/batches.py
@@ -57,6 +57,7 @@
     :param calls_by_job: calls that submitted a job of this batch
     :param ends: ends of runs that workers may drop once the batch is stored
     :param past_use: past usage of the client accounts, if it is stored in this batch
+    :param encoded_final_jobs: jobs whose final state is in the latest encoding, by id
     """
 
     number: int
@@ -72,6 +73,7 @@
     calls_by_job: dict[str, list[int]] = field(default_factory=dict)
     ends: list[StoredEnd] = field(default_factory=list)
     past_use: StoredPastUse | None = None
+    encoded_final_jobs: dict[str, Job] = field(default_factory=dict)
 
     @property
     def is_empty(self) -> bool:
@@ -103,7 +105,13 @@
         return [Reply(call, status) for call in calls]
 
     def encode(self) -> tuple[Record, ...]:
-        """Return the records of all changes."""
+        """Return the records of all changes, as of now.
+
+        A job may end while the batch is in flight; its final state is in the next one.
+        """
+        self.encoded_final_jobs = {
+            job_id: job for job_id, job in self.jobs.items() if job.is_over
+        }
         records = [encode_queue(queue) for queue in self.queues.values()]
         records += [encode_job(job) for job in self.jobs.values()]
         for (job_id, index), occurrence in self.occurrences.items():
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
@@ -288,9 +288,9 @@
             return
         for job in batch.jobs.values():
             job.is_stored = True
-            if job.is_over:
-                job.is_final_stored = True
-                self._intake.stop_tasks(job)
+        for job in batch.encoded_final_jobs.values():
+            job.is_final_stored = True
+            self._intake.stop_tasks(job)
         self.state.effects.extend(batch.build_acceptances(OK))
         self.state.effects.extend(batch.replies)
         self._start_dispatcher.send_starts(batch.starts, event.now)
--- a/testkit/planning/mutations.py
+++ b/testkit/planning/mutations.py
@@ -243,6 +243,35 @@
     planner.handle = handle_and_unbind
 
 
+def _final_states_taken_as_stored(planner: Any) -> None:
+    """Take the final state of a job as stored with any batch that has the job.
+
+    The batch may have been encoded before the job ended.
+    """
+    on_stored = planner.state.batches.on_stored
+
+    def take_all_as_encoded(number: int) -> Any:
+        batch = on_stored(number)
+        if batch is not None:
+            batch.encoded_final_jobs = {
+                job_id: job for job_id, job in batch.jobs.items() if job.is_over
+            }
+        return batch
+
+    planner.state.batches.on_stored = take_all_as_encoded
+
+
+def _cancels_answered_at_once(planner: Any) -> None:
+    """Acknowledge a cancel before the final state of the job is stored."""
+    on_cancel = planner._intake.on_cancel
+
+    def acknowledge(event: Any) -> None:
+        on_cancel(event)
+        planner.state.effects.append(effects.Reply(event.call, 200))
+
+    planner._handler_by_event[events.CancelRequested] = acknowledge
+
+
 MUTATION_BY_NAME: dict[str, Callable[[Any], None]] = {
     mutation.__name__.removeprefix("_"): mutation
     for mutation in (
@@ -282,10 +311,26 @@
 """Like ``MUTATION_BY_NAME``: faults that show only where workers restart."""
 
 
+ACKNOWLEDGEMENT_MUTATION_BY_NAME: dict[str, Callable[[Any], None]] = {
+    mutation.__name__.removeprefix("_"): mutation
+    for mutation in (
+        _final_states_taken_as_stored,
+        _cancels_answered_at_once,
+        _accepted_before_stored,
+        _ends_acknowledged_before_stored,
+        _starts_sent_before_stored,
+    )
+}
+"""Faults by which callers or workers are told what is not stored."""
+
+
 def make_mutant(name: str) -> Callable[[PlannerSettings], Planner]:
     """Return a factory of planners with the named fault."""
     mutation_by_name = (
-        MUTATION_BY_NAME | AUTHORITY_MUTATION_BY_NAME | RECIPIENT_MUTATION_BY_NAME
+        MUTATION_BY_NAME
+        | AUTHORITY_MUTATION_BY_NAME
+        | RECIPIENT_MUTATION_BY_NAME
+        | ACKNOWLEDGEMENT_MUTATION_BY_NAME
     )
     mutate = mutation_by_name[name]
 
