testkit: jobs are cancelled before their submission is answered

Change: scenarios with early cancels on a slow store, and a planner that is lost right after an acknowledgement; a final state that was reported must not change. Clients of the soak cancel during the submission, a fault kills or stops the planner right after a cancel, and a job that is shown as unfinished after its cancel breaks UNASKED.

--- a/testkit/planning/rule_checker.py
+++ b/testkit/planning/rule_checker.py
@@ -15,6 +15,8 @@
     from .worker import VirtualWorker
 
 
+FINAL_STATES = ("completed", "failed", "cancelled")
+
 CANCEL_GRACE_S = 3.0
 """Seconds after an acknowledged cancel after which no task of the job may start."""
 
@@ -59,6 +61,8 @@
         self.refused: set[str] = set()
         self.cancel_requested_at: dict[str, float] = {}
         self.cancel_stored_at: dict[str, float] = {}
+        self._final_state_by_job: dict[str, str] = {}
+        """Final states that a planner has reported."""
         self.running: dict[TaskId, tuple[VirtualWorker, int]] = {}
         self.acknowledged_done: set[TaskId] = set()
         self.lapsed: set[TaskId] = set()
@@ -231,6 +235,13 @@
             raise RuleViolationError(
                 f"{job} was accepted, but the planner does not know it"
             )
+        final_state = self._final_state_by_job.get(job, state)
+        if state != final_state:
+            raise RuleViolationError(
+                f"{job} is reported as {state}, but was reported as {final_state}"
+            )
+        if state in FINAL_STATES:
+            self._final_state_by_job[job] = state
         if state == "completed":
             spec = self.job_by_id[job]
             done_by_step = Counter(t.step_id for t in self.done if t.job == job)
--- a/testkit/planning/world.py
+++ b/testkit/planning/world.py
@@ -21,6 +21,7 @@
 
 from .claims import Claims
 from .clock import VirtualClock
+from .early_cancels import EarlyCancels
 from .recuts import HEARTBEAT_INTERVAL_S, Recuts
 from .rule_checker import RuleChecker
 from .worker import DEADLY_PAYLOAD, LONG_PAYLOAD, GangRegistry, VirtualWorker
@@ -82,6 +83,9 @@
     :param past_use_half_life_s: half-life of past usage, in seconds; 0 to disable
     :param checkpoint_costs: what a preemption costs; most steps but gangs write
         checkpoints if it is known
+    :param early_cancels: share of jobs that are cancelled before their submission is
+        answered, some while the store is slow; the planner is killed right after some
+        of the acknowledgements
     :param end_s: virtual time by which every accepted job must have ended
     """
 
@@ -107,6 +111,7 @@
     long: float = 0.0
     past_use_half_life_s: float = 0.0
     checkpoint_costs: CheckpointCosts = field(default_factory=CheckpointCosts)
+    early_cancels: float = 0.0
     end_s: float = SCENARIO_END_S
 
 
@@ -224,6 +229,7 @@
         self._change_random = Random(f"change {scenario.seed}")
         self._outage_random = Random(f"outage {scenario.seed}")
         self._checkpoint_random = Random(f"checkpoint {scenario.seed}")
+        self.early_cancels = EarlyCancels(self, scenario.seed, scenario.early_cancels)
         self.claims = Claims(self, scenario.seed, ZONES)
         self.zone_cuts = ZoneCuts(self, scenario.seed, ZONES, scenario.zone_cuts)
         self.recuts = Recuts(
@@ -380,6 +386,7 @@
             spec = self._draw_times(spec)
         self.checker.job_by_id[job] = spec
         self._submit(spec, 6)
+        self.early_cancels.on_submitted(job)
         if self.random.random() < 0.15:
             self.clock.after(self.random.uniform(0, 4), lambda: self._cancel(job))
 
@@ -424,10 +431,20 @@
 
     def _cancel(self, job: str) -> None:
         if job in self.checker.accepted:
-            self.checker.cancel_requested_at.setdefault(job, self.clock.now)
-            self._call(
-                "cancel", job, lambda call, now: events.CancelRequested(now, call, job)
-            )
+            self.cancel(job)
+
+    def cancel(self, job: str) -> None:
+        """Request that a job is cancelled, whether or not it was accepted."""
+        self.checker.cancel_requested_at.setdefault(job, self.clock.now)
+        self._call(
+            "cancel", job, lambda call, now: events.CancelRequested(now, call, job)
+        )
+
+    def ask(self, job: str) -> None:
+        """Ask the planner for the state of a job, and check it."""
+        process = self.current_process
+        if process is not None and process.is_alive and not process.is_frozen:
+            self.checker.check_state(job, process.planner.find_job_state(job))
 
     def _call(
         self, kind: str, job: str, make_event: Callable[[int, float], events.Event]
@@ -467,12 +484,16 @@
             self.store.refuses_batches = self.random.random() < 0.5
             self.clock.after(duration_s, self._restore_store)
         elif fault == "slow":
-            self.store.latency_factor = 50.0
-            self.clock.after(duration_s, self._restore_store)
+            self.slow_store(duration_s)
         elif fault == "grey":
             worker.fails_all = True
             self.clock.after(duration_s, lambda: setattr(worker, "fails_all", False))
 
+    def slow_store(self, duration_s: float) -> None:
+        """Slow the store down for a while."""
+        self.store.latency_factor = 50.0
+        self.clock.after(duration_s, self._restore_store)
+
     def replace_planner(self, delay_s: float) -> None:
         """Kill the planner, and elect another one after a delay."""
         if self.current_process is not None:
@@ -676,6 +697,7 @@
                 self.checker.refused.add(job)
         if kind == "cancel" and reply.status == 200:
             self.checker.cancel_stored_at.setdefault(job, self.clock.now)
+            self.early_cancels.on_acknowledged(job)
 
     def _send_command(
         self,
--- a/testkit/soak/checks.py
+++ b/testkit/soak/checks.py
@@ -30,6 +30,8 @@
 LOSS_SLACK_S = 0.2
 """Seconds after a call from which the end of its connection counts as a loss."""
 
+UNFINISHED_STATES = ("queued", "running")
+
 EVACUATE_S = 5.0
 CANCEL_S = 3.0
 VISIBLE_S = 3.0
@@ -196,6 +198,11 @@
             violations.append(f"LOST: {job.id} is unknown at {ip}")
         if state == "failed" or (state == "cancelled" and not job.cancel_sent_at):
             violations.append(f"LOST: {job.id} is shown as {state}")
+        if job.cancelled_at and at > job.cancelled_at and state in UNFINISHED_STATES:
+            violations.append(
+                f"UNASKED: {job.id} is shown as {state}"
+                f" {at - job.cancelled_at:.1f} s after it was cancelled"
+            )
         if state != "completed":
             continue
         for task in job.list_tasks():
--- a/testkit/soak/faults.py
+++ b/testkit/soak/faults.py
@@ -25,6 +25,9 @@
 LOST_AFTER_S = 4.5
 """Seconds of silence after which the entry of a worker is removed."""
 
+CANCEL_WAIT_S = 5.0
+"""Seconds for which a fault waits until a cancel is acknowledged."""
+
 LONGEST_SERIES = 4
 
 LONGEST_DELAYED_S = 15.0
@@ -72,6 +75,7 @@
             "herd_kill": self._herd_kill,
             "store_down": self._take_store_down,
             "kill_at_recovery": self._kill_at_recovery,
+            "kill_at_cancel": self._kill_at_cancel,
             "store_slow": self._slow_store,
             "store_silent": self._silence_store,
             "store_reset": self._reset_store,
@@ -301,6 +305,22 @@
         await asyncio.sleep(self._random.uniform(0.0, 0.3))
         await self._kill_planner()
 
+    async def _kill_at_cancel(self) -> None:
+        """Kill or stop the planner right after a cancel, while the store is slow."""
+        planner, store = await self._find_planner(), self._deployment.store
+        acknowledged = self._observations.cancel_acknowledged
+        self._observations.disturb(STORE, CANCEL_WAIT_S)
+        store.latency_s = self._random.uniform(0.1, 0.25)
+        acknowledged.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CANCEL_WAIT_S):
+                await acknowledged.wait()
+        await asyncio.sleep(self._random.choice((0.0, self._random.uniform(0.0, 0.3))))
+        number = self._random.choice((signal.SIGKILL, signal.SIGTERM))
+        await self._restart(planner, number)
+        store.latency_s = 0.0
+        self._observations.disturb(STORE, 0.0)
+
     async def _slow_store(self) -> None:
         await self._disturb_store("latency_s", self._random.uniform(0.05, 0.25), 0.0)
 
--- a/testkit/soak/observations.py
+++ b/testkit/soak/observations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from dataclasses import dataclass, field
 from typing import Any
@@ -146,6 +147,9 @@
     unanswered_calls: list[UnansweredCall] = field(default_factory=list)
     stalls: StallMonitor = field(default_factory=StallMonitor)
     outages: list[Outage] = field(default_factory=list)
+    cancel_acknowledged: asyncio.Event = field(default_factory=asyncio.Event)
+    """Set with each acknowledged cancel; who waits for the next one clears it."""
+
     preempted: list[str] = field(default_factory=list)
     """Tasks of which a run was stopped to make room for a gang."""
 
--- a/testkit/soak/traffic.py
+++ b/testkit/soak/traffic.py
@@ -29,6 +29,12 @@
 WORKLOAD_ATTEMPTS = 2
 """Submissions of a job of a workload: with few of them some jobs stay refused."""
 
+EARLY_CANCEL_SHARE = 0.06
+"""Share of the jobs that are cancelled while their submission waits for an answer."""
+
+MAX_EARLY_CANCEL_DELAY_S = 0.3
+MAX_CANCEL_DELAY_S = 2.0
+
 OPTIONAL_ROUTES = 4
 OPTIONAL_KEYS = 3
 FINAL_STATES = frozenset({"completed", "failed", "cancelled"})
@@ -80,11 +86,15 @@
         while time.monotonic() < until:
             job = self._make_job()
             self._observations.job_by_id[job.id] = job
-            await self._submit(job)
+            if self._random.random() < EARLY_CANCEL_SHARE:
+                cancel = self._cancel(job, MAX_EARLY_CANCEL_DELAY_S)
+                await asyncio.gather(self._submit(job), cancel)
+            else:
+                await self._submit(job)
             if job.accepted_at and self._random.random() < 0.05:
                 await self._repeat(job)
             if job.accepted_at and self._random.random() < 0.08:
-                await self._cancel(job)
+                await self._cancel(job, MAX_CANCEL_DELAY_S)
             await asyncio.sleep(self._random.uniform(0, 2 * pause_s))
             await self.ask(job)
 
@@ -147,14 +157,20 @@
         ip = self._random.choice(self._deployment.ips)
         await self.call(ip, "POST", job.prefix + job.id, job.body, job.key)
 
-    async def _cancel(self, job: Job) -> None:
-        await asyncio.sleep(self._random.uniform(0.0, 2.0))
+    async def _cancel(self, job: Job, max_delay_s: float) -> None:
+        """Cancel a job, again until that is acknowledged.
+
+        A job that was not accepted yet may be unknown, and come later.
+        """
+        await asyncio.sleep(self._random.uniform(0.0, max_delay_s))
         for _ in range(MAX_ATTEMPTS):
             job.cancel_sent_at = job.cancel_sent_at or time.monotonic()
             path = job.prefix + job.id
             response = await self.call(self.choose_ip(), "DELETE", path, key=job.key)
-            if response is not None and response.status in (200, 410):
-                job.cancelled_at = time.monotonic()
+            status = 0 if response is None else response.status
+            if status == 200 or (status == 410 and job.accepted_at):
+                job.cancelled_at = job.cancelled_at or time.monotonic()
+                self._observations.cancel_acknowledged.set()
                 return
             self.choose_ip(is_failed=True)
             await asyncio.sleep(0.5)
