planner: the paths of a job are estimated once a second, not once for each step

Cause: a scheduling pass worked out the critical path of the whole job for each of its ready steps, which is quadratic. In a profile of seven such jobs on 8 workers, 94% of the time of the planner was there, and the longest event took 4.9 s under the profiler. A claim may be replaced after 1.1 s. Change: all steps of a job share one estimate of its paths, linear in the steps and what they depend on, which is kept for a second. Preemption, which followed the later steps anew for each step that it might stop, takes it from the same estimate.

Estimates now change at other moments, by rounding too, so that simulated scenarios take other courses. Two tests demand rare events of them: more than 3 preemptions in 8 seeds, all on one seed before, and a refusal for shortage in 3 seeds. They now run 30 and 12 seeds, with the former ones among them, and the same demands.

--- a/bench/planning.py
+++ b/bench/planning.py
@@ -23,8 +23,8 @@
     OrderPolicy,
     Rank,
     compute_due_ms,
-    estimate_critical_path_s,
 )
+from jacinthloom_core.planner.paths import estimate_critical_path_s
 from jacinthloom_core.planner.planner import TICK_S, Planner
 from jacinthloom_core.planner.rules import ClientAccount, Rules
 from jacinthloom_core.planner.state import PlannerSettings
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/backlog.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/backlog.py
@@ -11,8 +11,8 @@
     BEYOND_SHARE_LEVELS,
     HOPELESS_LEVELS,
     WITHIN_SHARE_LEVELS,
-    estimate_critical_path_s,
 )
+from .paths import find_paths
 
 if TYPE_CHECKING:
     from .jobs import Job, Occurrence, StepRun, Task
@@ -287,7 +287,8 @@
         if objective_s <= 0:
             return None
         own_s = backlog.to_seconds(self._sum_waiting(occurrence))
-        path_s = estimate_critical_path_s(job, self._state.run_times.predict)
+        predict, wall_ms = self._state.run_times.predict, self._state.wall_ms
+        path_s = find_paths(job, predict, wall_ms).critical_s
         passed_s = now - self._built_at
         free_share = 1.0 - backlog.to_seconds(self._sum_used(queue.service))
 
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
@@ -12,6 +12,7 @@
     from collections.abc import Iterator
 
     from .fleet import WorkerLoss
+    from .paths import JobPaths
     from .specs import JobSpec, StepSpec
 
 
@@ -217,6 +218,7 @@
     :param final_at: time at which the final state was decided
     :param is_beyond_share: whether its client account submitted more jobs than it is
         entitled to when the fleet is full
+    :param paths: latest estimate of the paths through its steps
     """
 
     spec: JobSpec
@@ -228,6 +230,7 @@
     has_started: bool = False
     final_at: float = 0.0
     is_beyond_share: bool = False
+    paths: JobPaths | None = None
 
     @property
     def is_over(self) -> bool:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/order.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/order.py
@@ -5,11 +5,12 @@
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
+from .paths import find_paths
 
+if TYPE_CHECKING:
     from .jobs import Job, StepRun
     from .past_use import PastUse
+    from .paths import JobPaths
     from .rules import Queue
     from .run_times import RunTimes
 
@@ -28,10 +29,6 @@
 HOPELESS_LEVELS = frozenset({WITHIN_SHARE_LEVELS[2], BEYOND_SHARE_LEVELS[2]})
 """Levels of jobs that earn nothing any more."""
 
-ESTIMATE_INTERVAL_MS = 1000
-"""Milliseconds for which the objective of a step is kept: predicted run times change as
-runs of the queue end."""
-
 Rank = tuple[int, int, float]
 
 
@@ -66,9 +63,9 @@
         The level depends on the share of the client account, and on whether the step
         is within its objective, beyond it, or beyond ``LATE_FACTOR`` times it.
         """
-        age_ms = now_ms - step.estimated_ms
-        if not step.objective_s or not 0 <= age_ms < ESTIMATE_INTERVAL_MS:
-            self._set_objective(step, queue, now_ms)
+        paths = find_paths(step.occurrence.job, self._run_times.predict, now_ms)
+        if not step.objective_s or step.estimated_ms != paths.estimated_ms:
+            self._set_objective(step, queue, paths)
         if step.spec.lasting:
             return (0, LASTING_PRIORITY, step.due_s)
         age_s = now_ms / 1000 - step.due_s
@@ -84,13 +81,12 @@
         step.past_use_shift_s = shift_s
         return (levels[lateness], queue.priority, step.latest_start_s + shift_s)
 
-    def _set_objective(self, step: StepRun, queue: Queue, now_ms: int) -> None:
+    def _set_objective(self, step: StepRun, queue: Queue, paths: JobPaths) -> None:
         """Set the objective of a step by the current estimates of run times."""
-        step.estimated_ms = now_ms
+        step.estimated_ms = paths.estimated_ms
         job = step.occurrence.job
         predict = self._run_times.predict
-        chain_s = estimate_critical_path_s(job, predict)
-        step.objective_s = queue.stretch * chain_s + queue.target_s
+        step.objective_s = queue.stretch * paths.critical_s + queue.target_s
         step.due_s = compute_due_ms(job, step.occurrence.index) / 1000
         run_s = predict(job.spec.queue, step.spec.estimate_s)
         step.latest_start_s = step.due_s + step.objective_s - run_s
@@ -102,35 +98,3 @@
     if spec.is_timed:
         return spec.first_due_ms + occurrence * spec.period_ms
     return spec.received_ms
-
-
-def estimate_remaining_path_s(
-    job: Job, number: int, predict: Callable[[str, float], float]
-) -> float:
-    """Return the expected length of the longest path from a step on, in seconds.
-
-    :param number: number of the step that the path starts with
-    :param predict: returns the expected run time of a task, in seconds, from its queue
-        and its declared run time
-    """
-    steps = job.spec.steps
-    length_by_step: dict[int, float] = {}
-    for index in range(number, len(steps)):
-        before = [length_by_step[n] for n in steps[index].after if n in length_by_step]
-        if index == number or before:
-            run_s = predict(job.spec.queue, steps[index].estimate_s)
-            length_by_step[index] = max(before, default=0.0) + run_s
-    return max(length_by_step.values())
-
-
-def estimate_critical_path_s(job: Job, predict: Callable[[str, float], float]) -> float:
-    """Return the expected length of the critical path of a job's steps, in seconds.
-
-    :param predict: returns the expected run time of a task, in seconds, from its queue
-        and its declared run time
-    """
-    length_by_step: list[float] = []
-    for step in job.spec.steps:
-        start_s = max((length_by_step[number] for number in step.after), default=0.0)
-        length_by_step.append(start_s + predict(job.spec.queue, step.estimate_s))
-    return max(length_by_step, default=0.0)
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/preemption.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/preemption.py
@@ -13,7 +13,7 @@
 from typing import TYPE_CHECKING
 
 from .jobs import TaskState
-from .order import estimate_remaining_path_s
+from .paths import find_paths
 
 if TYPE_CHECKING:
     from .fleet import Worker
@@ -384,6 +384,6 @@
 def _compute_slack_s(state: PlannerState, step: StepRun, delay_s: float) -> float:
     """Return the slack of a step, in seconds, if it starts after a delay."""
     job = step.occurrence.job
-    path_s = estimate_remaining_path_s(job, step.id.step, state.run_times.predict)
-    end_s = state.wall_ms / 1000 + delay_s + path_s
+    paths = find_paths(job, state.run_times.predict, state.wall_ms)
+    end_s = state.wall_ms / 1000 + delay_s + paths.remaining_s[step.id.step]
     return step.due_s + step.objective_s - end_s
--- a/tests/planner/test_admission.py
+++ b/tests/planner/test_admission.py
@@ -316,7 +316,7 @@
                 Intake, "_refuse_for_shortage", autospec=True, side_effect=refuse
             ) as refusals,
         ):
-            for seed in range(20, 23):
+            for seed in range(20, 32):
                 with self.subTest(seed=seed):
                     World(Scenario(seed, jobs=200, end_s=175.0)).run()
         self.assertGreater(refusals.call_count, 0)
--- a/tests/planner/test_preemption.py
+++ b/tests/planner/test_preemption.py
@@ -348,7 +348,7 @@
     # held for ever, and free capacity that a choice of runs leaves wrong.
     def test_rules_hold_and_every_job_ends_under_faults(self) -> None:
         preempted = 0
-        for seed in range(8000, 8008):
+        for seed in range(8000, 8030):
             with self.subTest(seed=seed):
                 scenario = Scenario(
                     seed, drains=2, evacuations=1, checkpoint_costs=SCENARIO_COSTS
