planner: a scheduling pass is bounded, and steps that are alike share their work

Cause: each ready step looked at every worker, also when the pass had already found that none has room for such a task, and nothing ended a pass early. Change: ready steps of one occurrence that differ only in their number are ranked and sorted as one group; a pass remembers the sizes and gangs for which there is no room; steps of one kind share the sorted free capacity unless another placement intervened. A pass ends after a bounded amount of work, counted in looks at workers, and the next one goes on with what this round has not considered. Gangs that wait are considered in each of them, so that their reservations hold.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/isolation.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/isolation.py
@@ -86,6 +86,12 @@
         worker = self._state.worker_by_id.get(task.worker)
         return worker is None or not has_settled(task, worker.answered_at)
 
+    @property
+    def jobs(self) -> frozenset[str]:
+        """Jobs for whose suspects workers are reserved."""
+        hosts = self._host_by_id.values()
+        return frozenset(w.isolation.job for w in hosts if w.isolation is not None)
+
     def may_start(self, step: StepRun, worker: Worker) -> bool:
         """Whether a worker is not reserved for the suspects of another job."""
         isolation = worker.isolation
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
@@ -2,18 +2,18 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, fields
 from enum import Enum, IntEnum
 from typing import TYPE_CHECKING
 
-from .specs import StepId, TaskId
+from .specs import StepId, StepSpec, TaskId
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from .fleet import WorkerLoss
     from .paths import JobPaths
-    from .specs import JobSpec, StepSpec
+    from .specs import JobSpec
 
 
 class JobState(Enum):
@@ -26,6 +26,8 @@
     CANCELLED = "cancelled"
 
 
+_SHAPE_FIELDS = tuple(f.name for f in fields(StepSpec) if f.name != "after")
+
 FINAL_STATES = frozenset({JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED})
 
 
@@ -160,6 +162,8 @@
     :param ratio_by_run: worker of each run that was observed from start to end, with
         the ratio of the run time to the declared one
     :param slack_s: seconds until the latest start, as of the latest scheduling pass
+    :param shape: number that the steps of a job share which differ only in what they
+        depend on
     """
 
     id: StepId
@@ -179,6 +183,7 @@
     is_shift_noted: bool = False
     ratio_by_run: list[tuple[str, float]] = field(default_factory=list)
     slack_s: float = 0.0
+    shape: int = 0
 
     @property
     def is_done(self) -> bool:
@@ -219,6 +224,7 @@
     :param is_beyond_share: whether its client account submitted more jobs than it is
         entitled to when the fleet is full
     :param paths: latest estimate of the paths through its steps
+    :param shapes: shape of each step, see :class:`StepRun`
     """
 
     spec: JobSpec
@@ -231,6 +237,7 @@
     final_at: float = 0.0
     is_beyond_share: bool = False
     paths: JobPaths | None = None
+    shapes: tuple[int, ...] = ()
 
     @property
     def is_over(self) -> bool:
@@ -258,8 +265,11 @@
     def add_occurrence(self, index: int) -> Occurrence:
         """Create an occurrence with its steps and tasks."""
         occurrence = Occurrence(self, index)
+        if not self.shapes:
+            self.shapes = number_shapes(self.spec.steps)
         for number, spec in enumerate(self.spec.steps):
             step = StepRun(StepId(self.spec.id, index, number), spec, occurrence)
+            step.shape = self.shapes[number]
             step.tasks = [
                 Task(TaskId(self.spec.id, index, number, position), step)
                 for position in range(spec.count)
@@ -279,6 +289,16 @@
                 yield from step.tasks
 
 
+def number_shapes(steps: tuple[StepSpec, ...]) -> tuple[int, ...]:
+    """Return a number for each step, the same for steps that are alike."""
+    number_by_shape: dict[tuple[object, ...], int] = {}
+    shapes = []
+    for step in steps:
+        shape = tuple(getattr(step, name) for name in _SHAPE_FIELDS)
+        shapes.append(number_by_shape.setdefault(shape, len(number_by_shape)))
+    return tuple(shapes)
+
+
 def find_ready_steps(occurrence: Occurrence) -> list[StepRun]:
     """Return the unfinished steps whose prerequisites are all done."""
     return [
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/placement.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/placement.py
@@ -21,6 +21,7 @@
 
     from .fleet import Worker
     from .jobs import StepRun, Task
+    from .specs import StepSpec
 
 
 _Candidate = tuple[tuple[float, ...], int, int, "Worker"]
@@ -39,13 +40,7 @@
     :param workers: workers that may run the step
     :returns: the tasks that fit, each with its worker
     """
-    capacity = _FreeCapacity(step, workers)
-    placed = []
-    for task in tasks:
-        worker = capacity.take(task)
-        if worker is not None:
-            placed.append((task, worker))
-    return placed
+    return FreeCapacity(step, workers).place(tasks)
 
 
 def place_gang(
@@ -111,15 +106,18 @@
     return max(sorted(count_by_rack), key=lambda rack: count_by_rack[rack], default="")
 
 
-class _FreeCapacity:
-    """Free capacity of workers while one step is placed, ordered by preference."""
+class FreeCapacity:
+    """Free capacity of workers while steps of one kind are placed, by preference.
+
+    :param step: the first of these steps
+    """
 
     def __init__(self, step: StepRun, workers: Iterable[Worker]) -> None:
         workers = list(workers)
         self._step = step
         self._preferred_rack = _find_preferred_rack(step, workers)
         self._urgency = classify_slack(step)
-        self._is_short = step.spec.estimate_s < SHORT_TASK_S
+        self._is_short = self.is_for_short_tasks(step.spec)
         self._uses_speed_groups = not step.spec.lasting and has_speed_groups(workers)
         candidates: list[_Candidate] = []
         counts = count_fitting_tasks(step, workers)
@@ -129,6 +127,29 @@
         heapq.heapify(candidates)
         self._candidates = candidates
 
+    @staticmethod
+    def is_for_short_tasks(spec: StepSpec) -> bool:
+        """Whether the tasks of a step are short enough to prefer fast workers."""
+        return spec.estimate_s < SHORT_TASK_S
+
+    @property
+    def is_used_up(self) -> bool:
+        """Whether no worker has room for one more task."""
+        return not self._candidates
+
+    def place(self, tasks: list[Task]) -> list[tuple[Task, Worker]]:
+        """Choose workers for as many tasks as fit; the caller reserves the resources.
+
+        :returns: the tasks that fit, each with its worker
+        """
+        placed = []
+        for task in tasks:
+            worker = self.take(task)
+            if worker is None:
+                break
+            placed.append((task, worker))
+        return placed
+
     def take(self, task: Task) -> Worker | None:
         """Take the best worker, preferring those on which the task has not failed."""
         skipped: list[_Candidate] = []
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
@@ -48,6 +48,11 @@
 """Seconds added for each step that a pass considered: twice what a step takes with 176
 workers, so that passes leave processor time to other events."""
 
+PASS_PER_SKIPPED_STEP_S = 0.0002
+"""The same for each step that it skipped."""
+
+MAX_PASS_PAUSE_S = 0.5
+
 EXPLAIN_INTERVAL_S = 2.0
 """Seconds between log entries that explain why steps wait."""
 
@@ -253,10 +258,7 @@
             state.worker_health.update(state.worker_by_id, now)
             self._scheduler.run_pass(now)
             note_shifted_steps(state, self._scheduler.reason_by_step)
-            pause_s = (
-                PASS_INTERVAL_S + PASS_PER_STEP_S * self._scheduler.considered_steps
-            )
-            self._pass_due = now + pause_s
+            self._pass_due = now + self._compute_pause_s()
         state.effects.extend(state.advice_requests.dispatch(now))
         batches = state.batches
         if batches.may_flush(now):
@@ -267,6 +269,13 @@
         if store is not None:
             state.effects.append(store)
 
+    def _compute_pause_s(self) -> float:
+        """Return the seconds until the next pass, by the work of the last one."""
+        scheduler = self._scheduler
+        pause_s = PASS_PER_STEP_S * scheduler.considered_steps
+        pause_s += PASS_PER_SKIPPED_STEP_S * scheduler.skipped_steps
+        return PASS_INTERVAL_S + min(pause_s, MAX_PASS_PAUSE_S)
+
     def _store_past_use(self, now: float) -> None:
         """Add the record of past usage to the pending batch if it is due."""
         state, pending = self.state, self.state.batches.pending
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/preemption.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/preemption.py
@@ -172,6 +172,17 @@
     def _get_attempts(self, step: StepRun) -> _Attempts:
         return self._attempts_by_step.setdefault(step.id, _Attempts())
 
+    def may_make_room(self, step: StepRun) -> bool:
+        """Whether this pass may stop runs for a gang, or has done so before."""
+        if step.id in self._hold_by_step:
+            return True
+        has_costs = bool(self._state.settings.checkpoint_costs.interval_s)
+        return has_costs and self._choices_left > 0
+
+    def holds_for(self, step: StepRun) -> bool:
+        """Whether workers are held for a gang."""
+        return step.id in self._hold_by_step
+
     def may_use(self, step: StepRun, worker: Worker) -> bool:
         """Whether a step may be placed on a worker that may be held for another one."""
         hold = self._hold_by_worker.get(worker.id)
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/reservations.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/reservations.py
@@ -49,11 +49,14 @@
     def __init__(self) -> None:
         self._reserved: list[tuple[Worker, Resources, bool]] = []
         self._workers: set[str] = set()
+        self.total = 0
+        """Number of reservations so far."""
 
     def reserve(self, worker: Worker, size: Resources, fills: bool = False) -> None:
         """Reserve the resources of one task on a worker."""
         worker.reserve(size, fills)
         self._reserved.append((worker, size, fills))
+        self.total += 1
         self._workers.add(worker.id)
 
     def concern(self, worker: Worker) -> bool:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/scheduler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/scheduler.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from ..model.resources import Resources
@@ -16,18 +15,21 @@
 from .isolation import IsolationPolicy
 from .jobs import TaskState
 from .order import HOPELESS_LEVELS
-from .placement import place_gang, place_tasks
+from .pass_room import PassRoom
+from .placement import FreeCapacity, place_gang, place_tasks
 from .preemption import Preemption
+from .ready_groups import group_ready_steps
 from .reservations import BUSY_SHARE, Reservations, ReservationTurns
 from .sharing import may_share
+from .step_context import StepContext
 
 if TYPE_CHECKING:
-    from .advice import StepAdvice
     from .fleet import Worker
     from .jobs import StepRun, Task
     from .order import OrderPolicy, Rank
+    from .ready_groups import ReadyGroup
     from .rules import Queue
-    from .specs import StepId
+    from .specs import StepId, StepSpec
     from .state import PlannerState
 
 MAX_DRAINED_GANGS = 3
@@ -35,44 +37,13 @@
 waits for the last of its workers leaves capacity idle on the others."""
 
 
-@dataclass(frozen=True, slots=True)
-class _StepContext:
-    """A step that is considered in a scheduling pass.
+MAX_PASS_WORK = 40_000
+"""Maximum work of one pass. One unit takes about a microsecond, and the planner has to
+renew its claim between two passes."""
 
-    :param waiting: tasks of the step that may be placed
-    :param advice: answers of the advice service, or None if any worker may run the step
-    """
-
-    step: StepRun
-    queue: Queue
-    waiting: list[Task]
-    advice: StepAdvice | None
-    rank: Rank
-    now: float
-
-    def select_ticketed(self, workers: list[Worker]) -> list[Worker]:
-        """Return the workers on which the step may start now."""
-        advice = self.advice
-        if advice is None:
-            return workers
-        tickets = advice.ticket_by_worker
-        return [
-            w for w in workers if w.id in tickets and advice.find_ticket(w, self.now)
-        ]
-
-    def select_permitted(self, workers: list[Worker]) -> list[Worker]:
-        """Return the workers that the step may run on, with a new ticket if needed."""
-        advice = self.advice
-        if advice is None:
-            return workers
-        return [w for w in workers if advice.is_recommended_by_worker.get(w.id, False)]
-
-    def select_possible(self, workers: list[Worker]) -> list[Worker]:
-        """Return the workers that the advice service has not refused."""
-        advice = self.advice
-        if advice is None:
-            return workers
-        return [worker for worker in workers if advice.may_be_recommended(worker)]
+WORK_PER_STEP = 10
+WORK_PER_PLACEMENT = 40
+"""Work of a step and of a placement, in looks at one worker."""
 
 
 def _is_busy(workers: list[Worker]) -> bool:
@@ -104,6 +75,12 @@
         self._waiting_suspects: list[tuple[StepRun, list[Worker]]] = []
         """Steps whose suspects were not placed, with the workers that may run them."""
         self._drained_gangs = 0
+        self._room = PassRoom()
+        self._undrainable_gangs: set[tuple[str, StepSpec]] = set()
+        """Kinds of gangs that would not fit on drained workers either."""
+        self._isolated_jobs: frozenset[str] = frozenset()
+        self._finished_steps: set[StepId] = set()
+        """Steps that earlier passes of an unfinished round have considered."""
         self._turns = ReservationTurns()
         self._busy_services: set[str] = set()
         """Pools of which most is in use, as the current pass found them."""
@@ -111,22 +88,35 @@
         """Why steps were not placed, or not entirely, in the last pass."""
         self.considered_steps = 0
         """Number of steps that were considered in the last pass."""
+        self.skipped_steps = 0
+        """Number of steps that it skipped, as what they need was known to be taken."""
 
     def run_pass(self, now: float) -> None:
-        """Place the tasks that fit, and request the advice that is missing."""
+        """Place the tasks that fit, and request the advice that is missing.
+
+        A pass ends early if there is too much to do. The next one goes on with the
+        steps that this round of passes has not considered, and with new ones.
+        """
         self.reason_by_step = {}
-        self.considered_steps = 0
+        self.considered_steps = self.skipped_steps = 0
         self._drained_gangs = 0
+        self._room.begin_pass()
+        self._undrainable_gangs.clear()
         self._isolation.release_hosts(now)
+        self._isolated_jobs = self._isolation.jobs
         self._preemption.begin_pass(now)
         usable = self._group_usable(now)
         self._busy_services = {
             service for service, workers in usable.items() if _is_busy(workers)
         }
-        for rank, step, queue in self._sort_ready():
-            self._schedule_step(step, queue, rank, usable.get(queue.service, []), now)
-            if step.spec.gang and rank[0] not in HOPELESS_LEVELS:
-                self._reserve_limit(step, now)
+        placements = self._state.placements
+        for group in group_ready_steps(self._state, self._order):
+            workers = usable.get(group.queue.service, [])
+            if not self._schedule_group(group, workers, placements, now):
+                self._state.needs_pass = True
+                break
+        else:
+            self._finished_steps.clear()
         for step, workers in self._waiting_suspects:
             # Some may have been held for a gang since the step was considered.
             free = [w for w in workers if self._preemption.may_use(step, w)]
@@ -137,6 +127,40 @@
             self._state.add_usage(client_account, size, -count)
         self._reserved_limits.clear()
 
+    def _schedule_group(
+        self, group: ReadyGroup, usable: list[Worker], placements: int, now: float
+    ) -> bool:
+        """Schedule steps that are alike.
+
+        :param placements: number of placements at the start of the pass
+        :returns: whether the pass may go on
+        """
+        wall_ms = self._state.wall_ms
+        for number, step in enumerate(group.steps):
+            if step.id in self._finished_steps:
+                continue
+            if self._measure_work(placements) >= MAX_PASS_WORK:
+                return False
+            rank = self._order.rank(step, group.queue, wall_ms)
+            step.slack_s = step.latest_start_s - wall_ms / 1000
+            is_blocked = self._schedule_step(step, group.queue, rank, usable, now)
+            if not step.spec.gang:
+                self._finished_steps.add(step.id)
+            elif rank[0] not in HOPELESS_LEVELS:
+                self._reserve_limit(step, now)
+            if is_blocked and not self._state.crashed_task_by_id:
+                self.skipped_steps += len(group.steps) - number - 1
+                break
+        return True
+
+    def _measure_work(self, placements: int) -> int:
+        steps = self.considered_steps + self.skipped_steps
+        return (
+            self._room.visits
+            + WORK_PER_STEP * steps
+            + WORK_PER_PLACEMENT * (self._state.placements - placements)
+        )
+
     def _reserve_limit(self, step: StepRun, now: float) -> None:
         """Keep later steps of a client account off the limit that a gang waits for.
 
@@ -163,23 +187,16 @@
                 usable.setdefault(worker.entry.service, []).append(worker)
         return usable
 
-    def _sort_ready(self) -> list[tuple[Rank, StepRun, Queue]]:
-        rows = []
-        for step in self._state.ready_by_id.values():
-            queue = self._state.queue_by_name.get(step.occurrence.job.spec.queue)
-            if queue is not None:
-                rank = self._order.rank(step, queue, self._state.wall_ms)
-                step.slack_s = step.latest_start_s - self._state.wall_ms / 1000
-                rows.append((rank, step, queue))
-        rows.sort(key=lambda row: (row[0], row[1].id))
-        return rows
-
     def _schedule_step(
         self, step: StepRun, queue: Queue, rank: Rank, usable: list[Worker], now: float
-    ) -> None:
+    ) -> bool:
+        """Place the tasks of a step that fit.
+
+        :returns: whether steps that are alike can't start either, in this pass
+        """
         waiting = step.list_waiting()
         if not waiting or step.occurrence.job.is_over:
-            return
+            return False
         advice = self._state.advice_requests.find(step.id) if queue.advice else None
         if (
             advice is not None
@@ -187,10 +204,10 @@
             and not advice.is_recommended_by_worker
         ):
             self.reason_by_step[step.id] = "a request for advice is in progress"
-            return
+            return False
         suspects = self._isolation.find_suspects(step)
         if self._give_up_or_wait(step, suspects, now):
-            return
+            return False
         if suspects and not step.spec.gang:
             # The other tasks of the step may crash their workers too.
             waiting = [task for task in suspects if task.is_waiting]
@@ -198,7 +215,7 @@
                 self.reason_by_step[step.id] = (
                     "tasks that may have crashed their worker have not settled yet"
                 )
-                return
+                return False
         spec = step.spec
         allowed = self._state.count_allowed(step.occurrence.job.spec.tenant, spec.size)
         needed = spec.count if spec.gang else 1
@@ -207,9 +224,14 @@
                 f"{len(waiting)} tasks are waiting, and the limit of the client account"
                 f" allows {allowed} more, but {needed} are needed"
             )
-            return
+            return allowed < needed
+        if not suspects and self._is_known_to_be_full(step, queue):
+            self.skipped_steps += 1
+            return advice is None
         self.considered_steps += 1
-        context = _StepContext(step, queue, waiting[:allowed], advice, rank, now)
+        context = StepContext(step, queue, waiting[:allowed], advice, rank, now)
+        if advice is None and not suspects and not spec.gang:
+            return self._schedule_unadvised(context, usable)
         workers = self._select_fitting(step, usable)
         if advice is not None and not advice.is_recommended_by_worker:
             self.reason_by_step[step.id] = (
@@ -221,7 +243,32 @@
         elif suspects:
             self._schedule_isolated(context, workers)
         else:
-            self._schedule_tasks(context, workers)
+            self._schedule_advised(context, workers)
+        return False
+
+    def _is_known_to_be_full(self, step: StepRun, queue: Queue) -> bool:
+        """Whether this pass has found that no worker can take a step like this one."""
+        spec = step.spec
+        if step.id.job in self._isolated_jobs or self._preemption.holds_for(step):
+            return False
+        if not spec.gang:
+            advice = self._state.advice_requests.find(step.id) if queue.advice else None
+            if advice is not None and not advice.is_recommended_by_worker:
+                return False  # it asks for advice while it waits for room
+            is_full = self._room.is_full(queue.service, spec)
+            if is_full:
+                self.reason_by_step[step.id] = "no worker has room for another task"
+            return is_full
+        may_drain = (
+            self._drained_gangs < MAX_DRAINED_GANGS
+            and (queue.service, spec) not in self._undrainable_gangs
+        )
+        if may_drain or self._preemption.may_make_room(step):
+            return False
+        is_full = self._room.is_full_for_gang(queue.service, spec)
+        if is_full:
+            self.reason_by_step[step.id] = "not enough free capacity for the whole gang"
+        return is_full
 
     def _give_up_or_wait(self, step: StepRun, suspects: list[Task], now: float) -> bool:
         """Give up a suspect that is to blame, or has no starts left.
@@ -250,13 +297,46 @@
             usable = [w for w in usable if w.entry and spec.label in w.entry.labels]
         if spec.fills or spec.target_s:
             usable = [worker for worker in usable if may_share(step, worker)]
+        self._room.visit(usable)
         return [
             w
             for w in usable
             if self._isolation.may_start(step, w) and self._preemption.may_use(step, w)
         ]
 
-    def _schedule_tasks(self, context: _StepContext, workers: list[Worker]) -> None:
+    def _schedule_unadvised(self, context: StepContext, usable: list[Worker]) -> bool:
+        """Place tasks that any worker may run.
+
+        Steps that are alike share the free capacity, unless other placements intervene.
+
+        :returns: whether steps that are alike can't start either, in this pass
+        """
+        step, service, room = context.step, context.queue.service, self._room
+        spec = step.spec
+        is_shared = not (spec.most_per_worker or spec.same_rack)
+        is_shared = is_shared and step.id.job not in self._isolated_jobs
+        capacity = None
+        if is_shared:
+            capacity = room.find_capacity(service, step, self._count_reservations())
+        if capacity is None:
+            capacity = FreeCapacity(step, self._select_fitting(step, usable))
+        placed = capacity.place(context.waiting)
+        for task, worker in placed:
+            self._record_placement(task, worker, task.run + 1)
+        if is_shared:
+            room.keep_capacity(service, step, capacity, self._count_reservations())
+        if len(placed) == len(context.waiting):
+            return False
+        self.reason_by_step[step.id] = "no worker has room for another task"
+        if is_shared:
+            room.note_full(service, spec)
+        return is_shared
+
+    def _count_reservations(self) -> int:
+        return self._state.placements + self._reservations.total
+
+    def _schedule_advised(self, context: StepContext, workers: list[Worker]) -> None:
+        """Place tasks on the workers that the advice service has recommended."""
         step, waiting = context.step, context.waiting
         placed = place_tasks(step, waiting, context.select_ticketed(workers))
         for task, worker in placed:
@@ -264,17 +344,19 @@
         if len(placed) == len(waiting):
             return
         left = [task for task in waiting if not task.worker]
-        possible = (
-            context.select_possible(workers) if context.advice is not None else []
-        )
+        possible = context.select_possible(workers)
         fitting = place_tasks(step, left, possible)
         self.reason_by_step[step.id] = (
             f"{len(fitting)} of {len(left)} tasks fit, but tickets are missing"
         )
         if fitting:
             self._request_advice(context, possible, left)
+        elif step.id.job not in self._isolated_jobs and not any(
+            w.has_capacity_for(step.spec.size, step.spec.fills) for w in workers
+        ):
+            self._room.note_full(context.queue.service, step.spec)
 
-    def _schedule_isolated(self, context: _StepContext, workers: list[Worker]) -> None:
+    def _schedule_isolated(self, context: StepContext, workers: list[Worker]) -> None:
         """Place suspects on one worker that starts nothing else meanwhile."""
         step, waiting = context.step, context.waiting
         ticketed = context.select_ticketed(workers)
@@ -293,7 +375,7 @@
         self._request_advice(context, candidates, waiting)
 
     def _place_gang(
-        self, context: _StepContext, workers: list[Worker], suspects: list[Task]
+        self, context: StepContext, workers: list[Worker], suspects: list[Task]
     ) -> list[tuple[Task, Worker]]:
         if not suspects:
             return place_gang(context.step, context.waiting, workers)
@@ -302,7 +384,7 @@
         )
 
     def _schedule_gang(
-        self, context: _StepContext, workers: list[Worker], suspects: list[Task]
+        self, context: StepContext, workers: list[Worker], suspects: list[Task]
     ) -> None:
         step, waiting = context.step, context.waiting
         placed = self._place_gang(context, context.select_ticketed(workers), suspects)
@@ -327,6 +409,13 @@
             self._request_advice(context, possible, waiting)
             return
         self.reason_by_step[step.id] = "not enough free capacity for the whole gang"
+        if (
+            context.advice is None
+            and not suspects
+            and step.id.job not in self._isolated_jobs
+            and not self._preemption.holds_for(step)
+        ):
+            self._room.note_full_for_gang(context.queue.service, step.spec)
         if not suspects:
             # Capacity that is reserved for a step ahead is not made part of a hold.
             permitted = [
@@ -344,12 +433,12 @@
         if self._drained_gangs < MAX_DRAINED_GANGS:
             self._drain_for_gang(context, possible)
 
-    def _may_reserve(self, context: _StepContext) -> bool:
+    def _may_reserve(self, context: StepContext) -> bool:
         service = context.queue.service
         is_busy = service in self._busy_services
         return self._turns.may_reserve(f"service {service}", is_busy, context.now)
 
-    def _drain_for_gang(self, context: _StepContext, possible: list[Worker]) -> None:
+    def _drain_for_gang(self, context: StepContext, possible: list[Worker]) -> None:
         """Place no more tasks on the workers that can soonest take a gang."""
         spec, advice = context.step.spec, context.advice
         missing = spec.count
@@ -368,6 +457,8 @@
         if missing > 0:
             # Draining them all would block other steps for a gang that can't run.
             self.reason_by_step[context.step.id] = "too few workers can run the gang"
+            if advice is None:
+                self._undrainable_gangs.add((context.queue.service, spec))
             return
         self._drained_gangs += 1
         if self._may_reserve(context):
@@ -377,7 +468,7 @@
             self._request_advice(context, possible, context.waiting)
 
     def _request_advice(
-        self, context: _StepContext, workers: list[Worker], tasks: list[Task]
+        self, context: StepContext, workers: list[Worker], tasks: list[Task]
     ) -> None:
         """Request advice on some workers, unless a request is in progress."""
         advice, policy = context.advice, context.queue.advice
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/state.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/state.py
@@ -106,6 +106,8 @@
         self.lease_authority_until = float("-inf")
         """Time until which this planner may renew leases."""
         self.needs_pass = True
+        self.placements = 0
+        """Number of placements so far, by this planner."""
 
     def note(self, kind: str, **fields: Any) -> None:
         """Write a line to the log, and count it by its kind."""
@@ -170,6 +172,7 @@
         The resources count against the worker and against the client account's limit.
         """
         spec = task.step.spec
+        self.placements += 1
         task.worker = worker.id
         task.incarnation = worker.incarnation
         worker.task_by_id[task.id] = task
--- a/tests/planner/test_many_steps.py
+++ b/tests/planner/test_many_steps.py
@@ -10,14 +10,21 @@
 from unittest import mock
 
 from jacinthloom_core.model.resources import Resources
-from jacinthloom_core.planner import events
-from jacinthloom_core.planner.jobs import Job
+from jacinthloom_core.planner import events, scheduler
+from jacinthloom_core.planner.fleet import Worker
+from jacinthloom_core.planner.jobs import Job, TaskState
 from jacinthloom_core.planner.paths import estimate_remaining_paths_s
 from jacinthloom_core.planner.planner import Planner
 from jacinthloom_core.planner.run_times import RunTimes
 from jacinthloom_core.planner.specs import JobSpec, StepSpec
 
-from .test_takeover import Store, answer_poll, make_planner, store_batches
+from .test_takeover import (
+    ENTRY,
+    Store,
+    answer_poll,
+    make_planner,
+    store_batches,
+)
 
 STEP = StepSpec(1, Resources(100, 100), 1.0)
 STEPS = 300
@@ -82,5 +89,99 @@
                 self.assertLessEqual(predicted.call_count, 3 * STEPS)
 
 
+class FullFleetTest(unittest.TestCase):
+    """A fleet on which one job has taken almost all room."""
+
+    WORKERS = 20
+
+    def setUp(self) -> None:
+        self.store = Store()
+        self.planner = make_planner(1, self.store, 0.0)
+        for number in range(self.WORKERS):
+            name = f"w{number}"
+            entry = replace(ENTRY, id=name, address=f"1:{number}")
+            self.planner.handle(events.WorkerListed(0.0, entry))
+        self.now = 0.1
+        self.answer_polls()
+        self.calls = 0
+        step = replace(STEP, count=self.WORKERS, size=Resources(990, 990))
+        self.submit(step)
+
+    def answer_polls(self) -> None:
+        """Let each worker list what was placed on it as running."""
+        for worker in list(self.planner.state.worker_by_id.values()):
+            running = tuple(
+                events.RunProgress(task.id, task.run, "", int(self.now))
+                for task in worker.task_by_id.values()
+            )
+            clock_ms, sent_at = int(self.now * 1000), self.now - 0.01
+            self.planner.handle(
+                events.WorkerPolled(
+                    self.now, worker.id, sent_at, worker.token, 5, clock_ms, running, ()
+                )
+            )
+
+    def submit(self, *steps: StepSpec) -> str:
+        """Submit a job, and let its tasks be placed."""
+        self.answer_polls()
+        self.calls += 1
+        spec = replace(WIDE, id=f"{self.calls:016x}", steps=steps)
+        self.now += 0.5
+        emitted = self.planner.handle(events.JobSubmitted(self.now, self.calls, spec))
+        store_batches(self.planner, self.store, emitted, self.now)
+        return spec.id
+
+    def run_pass(self) -> None:
+        self.now += 1.0
+        self.answer_polls()
+        self.planner.handle(events.Tick(self.now, int(self.now * 1000)))
+
+    def count_looks(self) -> int:
+        """Return how often a pass looks at the free capacity of a worker."""
+        look = Worker.count_fitting
+        with mock.patch.object(Worker, "count_fitting", autospec=True) as looks:
+            looks.side_effect = look
+            self.run_pass()
+        return int(looks.call_count)
+
+    def is_placed(self, job: str) -> bool:
+        tasks = self.planner.state.job_by_id[job].tasks()
+        return all(task.state is not TaskState.WAITING for task in tasks)
+
+    # Guards against a pass that looks at every worker for every step that waits: with
+    # many of both it takes longer than a planner's claim lasts (review/14).
+    def test_steps_that_are_alike_share_one_look_at_the_workers(self) -> None:
+        for _ in range(3):
+            self.submit(*[STEP] * 100)
+        self.assertLessEqual(self.count_looks(), 2 * self.WORKERS)
+
+    # Guards against the same with jobs that differ in all but the size of their tasks.
+    def test_steps_of_other_jobs_don_t_look_for_room_that_is_known_to_be_taken(
+        self,
+    ) -> None:
+        for number in range(30):
+            self.submit(replace(STEP, estimate_s=1.0 + number / 8))
+        self.assertLessEqual(self.count_looks(), 2 * self.WORKERS)
+
+    # Guards against the same with gangs.
+    def test_gangs_that_are_alike_share_a_few_looks_at_the_workers(self) -> None:
+        for _ in range(3):
+            self.submit(*[replace(STEP, count=3, gang=True)] * 30)
+        few = 4 * (scheduler.MAX_DRAINED_GANGS + 1) * self.WORKERS
+        self.assertLessEqual(self.count_looks(), few)
+
+    # Guards against a pass without an end, and against steps that are never considered
+    # since those ahead of them use up every pass.
+    def test_pass_goes_on_where_the_one_before_it_ended(self) -> None:
+        sizes = (Resources(100 + n, 900 - n) for n in range(40))
+        large = self.submit(*(replace(STEP, size=size) for size in sizes))
+        with mock.patch.object(scheduler, "MAX_PASS_WORK", 100):
+            small = self.submit(replace(STEP, size=Resources(10, 10)))
+            for _ in range(12):
+                self.run_pass()
+        self.assertFalse(self.is_placed(large))
+        self.assertTrue(self.is_placed(small))
+
+
 if __name__ == "__main__":
     unittest.main()
