soak: clients that cancel early do not wait long for the answer

Change: some of these cancels have a budget of 0.25 s or 0.4 s and are repeated sooner, and the state of the job is asked for at once.

--- a/testkit/soak/traffic.py
+++ b/testkit/soak/traffic.py
@@ -53,7 +53,13 @@
         self._ip = ""
 
     async def call(
-        self, ip: str, method: str, path: str, body: object = None, key: str = KEY
+        self,
+        ip: str,
+        method: str,
+        path: str,
+        body: object = None,
+        key: str = KEY,
+        budget_ms: int = BUDGET_MS,
     ) -> Response | None:
         """Call a process; return None if there is no complete answer."""
         client = self._connection_by_ip.get(ip)
@@ -63,7 +69,7 @@
             self._connection_by_ip[ip] = client
         headers = (
             ("Authorization", f"Token {key}"),
-            ("X-Jacinthloom-Time-Budget-Ms", str(BUDGET_MS)),
+            ("X-Jacinthloom-Time-Budget-Ms", str(budget_ms)),
         )
         data = b"" if body is None else json.dumps(body).encode()
         sent_at = time.monotonic()
@@ -87,14 +93,14 @@
             job = self._make_job()
             self._observations.job_by_id[job.id] = job
             if self._random.random() < EARLY_CANCEL_SHARE:
-                cancel = self._cancel(job, MAX_EARLY_CANCEL_DELAY_S)
-                await asyncio.gather(self._submit(job), cancel)
+                await asyncio.gather(self._submit(job), self._cancel_early(job))
             else:
                 await self._submit(job)
             if job.accepted_at and self._random.random() < 0.05:
                 await self._repeat(job)
             if job.accepted_at and self._random.random() < 0.08:
-                await self._cancel(job, MAX_CANCEL_DELAY_S)
+                delay_s = self._random.uniform(0.0, MAX_CANCEL_DELAY_S)
+                await self._cancel(job, delay_s, BUDGET_MS)
             await asyncio.sleep(self._random.uniform(0, 2 * pause_s))
             await self.ask(job)
 
@@ -157,23 +163,31 @@
         ip = self._random.choice(self._deployment.ips)
         await self.call(ip, "POST", job.prefix + job.id, job.body, job.key)
 
-    async def _cancel(self, job: Job, max_delay_s: float) -> None:
+    async def _cancel_early(self, job: Job) -> None:
+        """Cancel a job, without waiting long for a slow store, and ask for it."""
+        delay_s = self._random.uniform(0.0, MAX_EARLY_CANCEL_DELAY_S)
+        await self._cancel(job, delay_s, self._random.choice((250, 400, BUDGET_MS)))
+        await self.ask(job)
+
+    async def _cancel(self, job: Job, delay_s: float, budget_ms: int) -> None:
         """Cancel a job, again until that is acknowledged.
 
         A job that was not accepted yet may be unknown, and come later.
         """
-        await asyncio.sleep(self._random.uniform(0.0, max_delay_s))
+        await asyncio.sleep(delay_s)
         for _ in range(MAX_ATTEMPTS):
             job.cancel_sent_at = job.cancel_sent_at or time.monotonic()
             path = job.prefix + job.id
-            response = await self.call(self.choose_ip(), "DELETE", path, key=job.key)
+            response = await self.call(
+                self.choose_ip(), "DELETE", path, key=job.key, budget_ms=budget_ms
+            )
             status = 0 if response is None else response.status
             if status == 200 or (status == 410 and job.accepted_at):
                 job.cancelled_at = job.cancelled_at or time.monotonic()
                 self._observations.cancel_acknowledged.set()
                 return
             self.choose_ip(is_failed=True)
-            await asyncio.sleep(0.5)
+            await asyncio.sleep(min(0.5, budget_ms / 2000))
 
     async def ask(self, job: Job) -> str:
         """Ask for the state of a job and return it, or an empty string."""
