planner: occurrences are opened and records loaded in parts; an end looks at what follows

Cause: further work of the planner grows with what is stored, and is done at one stretch: a load of all records, the opening of up to 200 due occurrences, and a look at all steps of an occurrence for each step that ends. Loading has a module of its own.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/intake.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/intake.py
@@ -27,6 +27,10 @@
 """Maximum number of unfinished occurrences of a job: further ones are opened as earlier
 ones end, however many are due."""
 
+MAX_OPENED_TASKS = 2_000
+"""Number of tasks after which the opening of due occurrences goes on with the next
+tick: the planner has to renew its claim meanwhile."""
+
 EARLY_START_S = 0.1
 """Seconds by which an occurrence may start early, well within the permitted bound."""
 
@@ -40,6 +44,8 @@
     def __init__(self, state: PlannerState, admission: AdmissionPolicy) -> None:
         self._state = state
         self._admission = admission
+        self._opened_tasks = 0
+        """Tasks of the occurrences that were opened since the last tick."""
 
     def on_submitted(self, event: JobSubmitted) -> None:
         """Accept or refuse a job; submitting a known id again is idempotent."""
@@ -193,13 +199,31 @@
             return
         self._open_next_occurrence(job)
 
+    def open_all_due_occurrences(self, now: float) -> None:
+        """Open the occurrences of all jobs that are due, in parts if there are many.
+
+        Which job comes first changes, so that none takes all parts.
+        """
+        self._opened_tasks = 0
+        timed = self._state.timed_by_id
+        for job in list(timed.values()):
+            if self._opened_tasks >= MAX_OPENED_TASKS:
+                return
+            if self._is_next_due(job):
+                timed[job.spec.id] = timed.pop(job.spec.id)
+                self.open_due_occurrences(job, now)
+
     def open_due_occurrences(self, job: Job, now: float) -> None:
-        """Open the occurrences of a job that are due."""
+        """Open the occurrences of a job that are due, as far as one tick may."""
         if not self._is_next_due(job):
             return
+        tasks = sum(step.count for step in job.spec.steps)
         room = MAX_OPEN_OCCURRENCES - job.count_unfinished()
         while room > 0 and self._is_next_due(job):
+            if self._opened_tasks >= MAX_OPENED_TASKS:
+                break
             self._open_next_occurrence(job)
+            self._opened_tasks += tasks
             room -= 1
         # Loaded occurrences may be done before they are due by this host's clock.
         self.check_finished(job, now)
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/jobs.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field, fields
 from enum import Enum, IntEnum
+from operator import attrgetter
 from typing import TYPE_CHECKING
 
 from .specs import StepId, StepSpec, TaskId
@@ -26,7 +27,7 @@
     CANCELLED = "cancelled"
 
 
-_SHAPE_FIELDS = tuple(f.name for f in fields(StepSpec) if f.name != "after")
+_get_shape = attrgetter(*(f.name for f in fields(StepSpec) if f.name != "after"))
 
 FINAL_STATES = frozenset({JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED})
 
@@ -184,12 +185,26 @@
     ratio_by_run: list[tuple[str, float]] = field(default_factory=list)
     slack_s: float = 0.0
     shape: int = 0
+    _prerequisites_done: int = 0
 
     @property
     def is_done(self) -> bool:
         """Whether all tasks are done."""
         return self.done >= self.spec.count
 
+    @property
+    def has_prerequisites_done(self) -> bool:
+        """Whether the steps that must be done before this one are.
+
+        Steps that are done stay so: each prerequisite is passed once.
+        """
+        after, steps = self.spec.after, self.occurrence.steps
+        number = self._prerequisites_done
+        while number < len(after) and steps[after[number]].is_done:
+            number += 1
+        self._prerequisites_done = number
+        return number == len(after)
+
     def list_waiting(self) -> list[Task]:
         """Return the tasks that may be placed."""
         return [task for task in self.tasks if task.is_waiting]
@@ -202,11 +217,16 @@
     job: Job
     index: int
     steps: list[StepRun] = field(default_factory=list)
+    _leading_done: int = 0
 
     @property
     def is_done(self) -> bool:
-        """Whether every step is done."""
-        return all(step.is_done for step in self.steps)
+        """Whether every step is done; each is passed once, as for prerequisites."""
+        number, steps = self._leading_done, self.steps
+        while number < len(steps) and steps[number].is_done:
+            number += 1
+        self._leading_done = number
+        return number == len(steps)
 
 
 @dataclass(slots=True)
@@ -225,6 +245,7 @@
         entitled to when the fleet is full
     :param paths: latest estimate of the paths through its steps
     :param shapes: shape of each step, see :class:`StepRun`
+    :param followers_by_step: numbers of the steps that depend on each step
     """
 
     spec: JobSpec
@@ -238,6 +259,7 @@
     is_beyond_share: bool = False
     paths: JobPaths | None = None
     shapes: tuple[int, ...] = ()
+    followers_by_step: dict[int, list[int]] = field(default_factory=dict)
 
     @property
     def is_over(self) -> bool:
@@ -267,6 +289,9 @@
         occurrence = Occurrence(self, index)
         if not self.shapes:
             self.shapes = number_shapes(self.spec.steps)
+            for number, spec in enumerate(self.spec.steps):
+                for earlier in dict.fromkeys(spec.after):
+                    self.followers_by_step.setdefault(earlier, []).append(number)
         for number, spec in enumerate(self.spec.steps):
             step = StepRun(StepId(self.spec.id, index, number), spec, occurrence)
             step.shape = self.shapes[number]
@@ -282,6 +307,14 @@
         """Return how many occurrences were created and are not done."""
         return sum(not occurrence.is_done for occurrence in self.occurrences.values())
 
+    def clear(self) -> None:
+        """Drop the occurrences, so that no reference cycle keeps their memory."""
+        for occurrence in self.occurrences.values():
+            for step in occurrence.steps:
+                step.tasks.clear()
+            occurrence.steps.clear()
+        self.occurrences.clear()
+
     def tasks(self) -> Iterator[Task]:
         """Yield the tasks of all occurrences."""
         for occurrence in self.occurrences.values():
@@ -294,8 +327,8 @@
     number_by_shape: dict[tuple[object, ...], int] = {}
     shapes = []
     for step in steps:
-        shape = tuple(getattr(step, name) for name in _SHAPE_FIELDS)
-        shapes.append(number_by_shape.setdefault(shape, len(number_by_shape)))
+        number = number_by_shape.setdefault(_get_shape(step), len(number_by_shape))
+        shapes.append(number)
     return tuple(shapes)
 
 
@@ -304,6 +337,13 @@
     return [
         step
         for step in occurrence.steps
-        if not step.is_done
-        and all(occurrence.steps[number].is_done for number in step.spec.after)
+        if not step.is_done and step.has_prerequisites_done
     ]
+
+
+def find_steps_made_ready(step: StepRun) -> list[StepRun]:
+    """Return the unfinished steps that only waited for a step which is done now."""
+    occurrence = step.occurrence
+    followers = occurrence.job.followers_by_step.get(step.id.step, ())
+    later = (occurrence.steps[number] for number in followers)
+    return [s for s in later if not s.is_done and s.has_prerequisites_done]
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/planner.py
@@ -9,30 +9,24 @@
 from .advice import Ticket
 from .backlog import Backlog
 from .intake import OK, Intake
-from .jobs import JobState, TaskState
+from .jobs import TaskState
+from .loading import RecordLoader
 from .order import LatestStartOrder
 from .order_responses import OrderResponseHandler
 from .past_use import note_shifted_steps
 from .reconciler import RunReconciler
-from .records import (
-    QUEUE_PREFIX,
-    RecordError,
-    load_jobs,
-    load_past_use,
-    load_queues,
-)
+from .records import QUEUE_PREFIX
 from .run_times import RECORD_KEY as RUN_TIMES_KEY
 from .scheduler import Scheduler
 from .start_dispatcher import StartDispatcher
 from .state import PlannerSettings, PlannerState
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from .batches import Batch
     from .effects import Effect
     from .events import Event
-    from .jobs import Job, Task
     from .order import OrderPolicy
     from .past_use import PastUse
     from .run_times import RunTimes
@@ -117,70 +111,22 @@
         }
 
     def load(self, records: dict[str, bytes], now: float, wall_ms: int) -> None:
-        """Restore the jobs that earlier planners stored.
+        """Restore the jobs that earlier planners stored, in one go."""
+        for _ in self.load_in_parts(records, now, wall_ms):
+            pass
 
-        :param records: newest value of each key
-        :param wall_ms: Unix time in milliseconds
-        """
-        state = self.state
-        state.now = now
-        state.wall_ms = wall_ms
-        state.job_by_id, unreadable = load_jobs(records, now)
-        queues, unreadable_queues = load_queues(records)
-        state.add_queues(queues)
-        self._load_run_times(records.get(RUN_TIMES_KEY, b""))
-        state.stored_queue_by_name.update(queues)
-        for job in state.job_by_id.values():
-            for task in job.tasks():
-                if task.worker:
-                    self._load_placement(task, now)
-            if self._has_failed(job):
-                state.finish(job, JobState.FAILED, now)
-            if job.is_over:
-                continue
-            for task in job.tasks():
-                if task.crashes:
-                    task.lost_at = now
-                    state.crashed_task_by_id[task.id] = task
-            self._intake.open_job(job, now)
-            for occurrence in job.occurrences.values():
-                state.open_steps(occurrence)
-            self._intake.check_finished(job, now)
-        state.note(
-            "jobs_loaded",
-            jobs=len(state.job_by_id),
-            unreadable_records=unreadable + unreadable_queues,
-        )
-        self._load_past_use(records, now)
-        self._admission.note_forgotten_returns()
-
-    def _load_past_use(self, records: dict[str, bytes], now: float) -> None:
-        """Restore the past usage; an unreadable record counts as none."""
-        state = self.state
-        if not state.past_use.is_enabled:
-            return
-        try:
-            stored = load_past_use(records)
-        except RecordError as error:
-            state.note("past_use_unreadable", reason=str(error))
-            return
-        if stored is not None:
-            age_s = state.past_use.restore(stored, now, state.wall_ms)
-            accounts = len(stored.usage_by_client_account)
-            state.note("past_use_loaded", accounts=accounts, age_s=round(age_s, 1))
+    def load_in_parts(
+        self, records: dict[str, bytes], now: float, wall_ms: int
+    ) -> Iterator[None]:
+        """Restore the jobs that earlier planners stored; yields between two parts.
 
-    def _load_run_times(self, value: bytes) -> None:
-        """Take over the run times that earlier planners have learned.
+        No event may be handled before the last part.
 
-        Declared run times are far off. A planner without the learned ones would take
-        jobs with a short declared time for late, and drop them behind all others.
+        :param records: newest value of each key
+        :param wall_ms: Unix time in milliseconds
         """
-        if not value:
-            return
-        try:
-            self.state.run_times.load(value)
-        except ValueError as error:
-            self.state.note("run_times_ignored", reason=str(error))
+        loader = RecordLoader(self.state, self._intake, self._admission)
+        return loader.load(records, now, wall_ms)
 
     def _store_run_times(self, now: float) -> None:
         run_times = self.state.run_times
@@ -191,30 +137,13 @@
         self._run_times_stored_at = now
         self.state.batches.pending.values[RUN_TIMES_KEY] = run_times.encode()
 
-    def _has_failed(self, job: Job) -> bool:
-        """Whether a job fails for a run whose end was stored before its final state.
-
-        The store may have refused the batch of that end: when it is appended again, the
-        final state is in the next one.
-        """
-        return not job.is_over and any(
-            task.state is not TaskState.DONE and self.state.has_used_up_attempts(task)
-            for task in job.tasks()
-        )
-
-    def _load_placement(self, task: Task, now: float) -> None:
-        """Assign a task to the worker on which an earlier planner placed it.
-
-        The worker's lists will show whether it runs there.
-        """
-        state = self.state
-        settings = state.settings
-        worker = state.get_or_add_worker(task.worker)
-        worker.extend_lease(now + settings.predecessor_s, settings.lease_s)
-        incarnation = task.incarnation
-        state.place(task, worker)
-        task.incarnation = incarnation
-        task.barred_at = float("-inf")  # the new fencing token bars older orders
+    def clear(self) -> None:
+        """Drop the jobs and workers, so that no reference cycle keeps their memory."""
+        for job in self.state.job_by_id.values():
+            job.clear()
+        self.state.job_by_id.clear()
+        self.state.worker_by_id.clear()
+        self.state.ready_by_id.clear()
 
     def handle(self, event: Event) -> list[Effect]:
         """Process one event and return the resulting effects."""
@@ -354,8 +283,7 @@
         state.past_use.on_tick(state, event.now)
         if state.batches.is_stalled(event.now):
             self._intake.refuse_unstored(state.batches.pending, event.now)
-        for job in list(state.timed_by_id.values()):
-            self._intake.open_due_occurrences(job, event.now)
+        self._intake.open_all_due_occurrences(event.now)
         self._reconciler.expire_leases(event.now)
         for member in state.advice_requests.expire(event.now):
             state.note("advice_expired", member=member)
@@ -399,6 +327,7 @@
                 continue
             if not job.has_placements:
                 del self.state.job_by_id[job_id]
+                job.clear()
                 self.state.batches.pending.dropped.append(job_id)
         self._drop_queues()
 
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/records.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/records.py
@@ -4,7 +4,7 @@
 
 import math
 from dataclasses import astuple, dataclass, replace
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgpack
 
@@ -14,6 +14,9 @@
 from .rules import AdvicePolicy, Queue
 from .specs import JobSpec, StepSpec
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 FORMAT = 1
 """Version of the record format."""
 
@@ -229,25 +232,49 @@
     :param now: time to set as the time of completion of finished jobs
     :returns: jobs by id, and the number of records that could not be decoded
     """
-    jobs: dict[str, Job] = {}
-    unreadable = 0
-    for key, value in records.items():
-        if "." in key or key.startswith(QUEUE_PREFIX):
-            continue
+    decoder = JobDecoder(now)
+    for _ in decoder.decode(records):
+        pass
+    return decoder.job_by_id, decoder.unreadable
+
+
+class JobDecoder:
+    """Rebuilds jobs from the newest record of each key, one record at a time.
+
+    :param now: time to set as the time of completion of finished jobs
+    :ivar unreadable: number of records that could not be decoded
+    """
+
+    def __init__(self, now: float) -> None:
+        self._now = now
+        self.job_by_id: dict[str, Job] = {}
+        self.unreadable = 0
+
+    def decode(self, records: dict[str, bytes]) -> Iterator[int]:
+        """Decode all records; yields the number of steps or tasks in each."""
+        for key, value in records.items():
+            if "." not in key and not key.startswith(QUEUE_PREFIX):
+                yield self._decode_job(key, value)
+        for key, value in records.items():
+            job_id, dot, index = key.partition(".")
+            job = self.job_by_id.get(job_id)
+            if dot and job is not None and job.spec.steps:
+                yield self._decode_occurrence(job, index, value)
+
+    def _decode_job(self, key: str, value: bytes) -> int:
         try:
-            jobs[key] = _decode_job(key, value, now)
+            job = self.job_by_id[key] = _decode_job(key, value, self._now)
         except (ValueError, TypeError, IndexError):
-            unreadable += 1
-    for key, value in records.items():
-        job_id, dot, index = key.partition(".")
-        job = jobs.get(job_id)
-        if not dot or job is None or not job.spec.steps:
-            continue
+            self.unreadable += 1
+            return 0
+        return len(job.spec.steps)
+
+    def _decode_occurrence(self, job: Job, index: str, value: bytes) -> int:
         try:
             _decode_occurrence(job, int(index), value)
         except (ValueError, TypeError, IndexError):
-            unreadable += 1
-    return jobs, unreadable
+            self.unreadable += 1
+        return sum(step.count for step in job.spec.steps)
 
 
 def _decode_job(key: str, value: bytes, now: float) -> Job:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/run_end_handler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/run_end_handler.py
@@ -157,7 +157,7 @@
         if step.occurrence.is_done:
             self._intake.check_finished(step.occurrence.job, now)
         else:
-            self._state.open_steps(step.occurrence)
+            self._state.open_followers(step)
 
     def _count_failure(self, task: Task, worker: Worker, now: float) -> None:
         if not task.failed_on:
--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/state.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/state.py
@@ -11,7 +11,13 @@
 from .batches import BatchQueue
 from .effects import Note, Stop
 from .fleet import Worker, WorkerLoss
-from .jobs import FINAL_STATES, JobState, TaskState, find_ready_steps
+from .jobs import (
+    FINAL_STATES,
+    JobState,
+    TaskState,
+    find_ready_steps,
+    find_steps_made_ready,
+)
 from .lease_authority import KNOWN_PREDECESSOR_S
 from .past_use import PastUse
 from .preemption import CheckpointCosts
@@ -324,6 +330,12 @@
             self.ready_by_id.setdefault(step.id, step)
         self.needs_pass = True
 
+    def open_followers(self, step: StepRun) -> None:
+        """Make the steps available that only waited for a step which is done now."""
+        for follower in find_steps_made_ready(step):
+            self.ready_by_id.setdefault(follower.id, follower)
+        self.needs_pass = True
+
     def close_step(self, step: StepRun) -> None:
         """Remove a step from scheduling."""
         self.ready_by_id.pop(step.id, None)
--- a/tests/planner/test_many_steps.py
+++ b/tests/planner/test_many_steps.py
@@ -12,7 +12,8 @@
 from jacinthloom_core.model.resources import Resources
 from jacinthloom_core.planner import events, scheduler
 from jacinthloom_core.planner.fleet import Worker
-from jacinthloom_core.planner.jobs import Job, TaskState
+from jacinthloom_core.planner.intake import MAX_OPENED_TASKS
+from jacinthloom_core.planner.jobs import Job, StepRun, TaskState
 from jacinthloom_core.planner.paths import estimate_remaining_paths_s
 from jacinthloom_core.planner.planner import Planner
 from jacinthloom_core.planner.run_times import RunTimes
@@ -88,6 +89,41 @@
                 self.assertGreater(predicted.call_count, 0)
                 self.assertLessEqual(predicted.call_count, 3 * STEPS)
 
+    # Guards against the same for the opening of occurrences that are due at once.
+    def test_occurrences_that_are_due_are_opened_in_parts(self) -> None:
+        planner = make_planner_with(replace(WIDE, period_ms=1, occurrences=50))
+        job = planner.state.job_by_id[WIDE.id]
+        opened = []
+        for tick in range(1, 20):
+            before = job.next_occurrence
+            planner.handle(events.Tick(1.0 + 0.05 * tick, 1_000 + 50 * tick))
+            opened.append((job.next_occurrence - before) * STEPS)
+        self.assertLess(max(opened), MAX_OPENED_TASKS + STEPS)
+        self.assertEqual(job.next_occurrence, 50)
+
+    # Guards against an end of a task that looks at all other steps of its job.
+    def test_ends_look_at_the_steps_that_follow(self) -> None:
+        planner = make_planner_with(replace(CHAIN, steps=CHAIN.steps[:100]))
+        occurrence = planner.state.job_by_id[WIDE.id].occurrences[0]
+        looks = 0
+
+        def look(step: StepRun) -> bool:
+            nonlocal looks
+            looks += 1
+            return is_done(step)
+
+        is_done = StepRun.is_done.fget
+        assert is_done is not None
+        with mock.patch.object(StepRun, "is_done", property(look)):
+            for step in occurrence.steps:
+                self.assertIn(step.id, planner.state.ready_by_id)
+                step.done = 1
+                planner.state.close_step(step)
+                planner.state.open_followers(step)
+                occurrence.is_done  # noqa: B018
+        self.assertEqual(occurrence.steps[-1].done, 1)
+        self.assertLess(looks, 8 * len(occurrence.steps))
+
 
 class FullFleetTest(unittest.TestCase):
     """A fleet on which one job has taken almost all room."""
