--- a/testkit/planning/world.py
+++ b/testkit/planning/world.py
@@ -22,6 +22,7 @@
 from .claims import Claims
 from .clock import VirtualClock
 from .early_cancels import EarlyCancels
+from .large_jobs import LargeJobs
 from .recuts import HEARTBEAT_INTERVAL_S, Recuts
 from .rule_checker import RuleChecker
 from .worker import DEADLY_PAYLOAD, LONG_PAYLOAD, GangRegistry, VirtualWorker
@@ -86,6 +87,7 @@
     :param early_cancels: share of jobs that are cancelled before their submission is
         answered, some while the store is slow; the planner is killed right after some
         of the acknowledgements
+    :param large_jobs: number of jobs of hundreds of steps
     :param end_s: virtual time by which every accepted job must have ended
     """
 
@@ -112,6 +114,7 @@
     past_use_half_life_s: float = 0.0
     checkpoint_costs: CheckpointCosts = field(default_factory=CheckpointCosts)
     early_cancels: float = 0.0
+    large_jobs: int = 0
     end_s: float = SCENARIO_END_S
 
 
@@ -230,6 +233,7 @@
         self._outage_random = Random(f"outage {scenario.seed}")
         self._checkpoint_random = Random(f"checkpoint {scenario.seed}")
         self.early_cancels = EarlyCancels(self, scenario.seed, scenario.early_cancels)
+        self._large_jobs = LargeJobs(self, scenario.seed, scenario.large_jobs)
         self.claims = Claims(self, scenario.seed, ZONES)
         self.zone_cuts = ZoneCuts(self, scenario.seed, ZONES, scenario.zone_cuts)
         self.recuts = Recuts(
@@ -313,6 +317,7 @@
         for _ in range(self.scenario.store_outages):
             delay_s = self._outage_random.uniform(1, FAULTS_END_S)
             self.clock.after(delay_s, self._begin_outage)
+        self._large_jobs.schedule()
         self.recuts.schedule(FAULTS_END_S)
         if self.zone_cuts.is_enabled:
             self.zone_cuts.schedule(FAULTS_END_S)
@@ -384,12 +389,16 @@
         )
         if self._timed_random.random() < self.scenario.timed:
             spec = self._draw_times(spec)
-        self.checker.job_by_id[job] = spec
-        self._submit(spec, 6)
-        self.early_cancels.on_submitted(job)
+        self.submit(spec)
         if self.random.random() < 0.15:
             self.clock.after(self.random.uniform(0, 4), lambda: self._cancel(job))
 
+    def submit(self, spec: JobSpec) -> None:
+        """Submit a job, again until it is accepted."""
+        self.checker.job_by_id[spec.id] = spec
+        self._submit(spec, 6)
+        self.early_cancels.on_submitted(spec.id)
+
     def _draw_times(self, spec: JobSpec) -> JobSpec:
         return replace(
             spec,
--- a/testkit/soak/traffic.py
+++ b/testkit/soak/traffic.py
@@ -32,6 +32,9 @@
 EARLY_CANCEL_SHARE = 0.06
 """Share of the jobs that are cancelled while their submission waits for an answer."""
 
+LARGE_SHARE = 0.01
+"""Share of the jobs that have hundreds of steps."""
+
 MAX_EARLY_CANCEL_DELAY_S = 0.3
 MAX_CANCEL_DELAY_S = 2.0
 
@@ -121,6 +124,8 @@
     def _make_job(self) -> Job:
         random = self._random
         name = f"{random.getrandbits(64):016x}"
+        if random.random() < LARGE_SHARE:
+            return self._make_large_job(name)
         steps: list[dict[str, Any]] = [
             {
                 "count": random.choice((1, 2, 3, 6, 12)),
@@ -141,6 +146,29 @@
             }
         return Job(name, body, time.monotonic())
 
+    def _make_large_job(self, name: str) -> Job:
+        """Return a job of hundreds of steps, or of many occurrences that are due."""
+        random = self._random
+        step: dict[str, Any] = {
+            "count": 1,
+            "cpu": 50,
+            "memMb": 10,
+            "estRuntimeMs": 1000,
+        }
+        shape = random.choice(("wide", "fan", "timed"))
+        steps = [step] * random.randint(100, 300)
+        body: dict[str, Any] = {"spec": f"text of {name}", "steps": steps}
+        if shape == "fan":
+            steps[1:] = [step | {"after": [0]}] * (len(steps) - 1)
+        elif shape == "timed":
+            body |= {
+                "steps": steps[:10],
+                "startAtMs": int(time.time() * 1000),
+                "periodMs": 1,
+                "repeatCount": len(steps) // 10,
+            }
+        return Job(name, body, time.monotonic())
+
     async def _submit(self, job: Job, attempts: int = MAX_ATTEMPTS) -> None:
         is_failed = False
         for _ in range(attempts):
--- a/tests/planner/test_many_steps.py
+++ b/tests/planner/test_many_steps.py
@@ -7,6 +7,7 @@
 
 import unittest
 from dataclasses import replace
+from typing import Any, cast
 from unittest import mock
 
 from jacinthloom_core.model.resources import Resources
@@ -18,6 +19,9 @@
 from jacinthloom_core.planner.planner import Planner
 from jacinthloom_core.planner.run_times import RunTimes
 from jacinthloom_core.planner.specs import JobSpec, StepSpec
+from jacinthloom_core.planner.state import PlannerSettings
+
+from testkit.planning.world import Scenario, World
 
 from .test_takeover import (
     ENTRY,
@@ -219,5 +223,37 @@
         self.assertTrue(self.is_placed(small))
 
 
+class ScenariosTest(unittest.TestCase):
+    """Jobs of hundreds of steps beside others, while planners and workers are lost."""
+
+    SEEDS = range(400, 412)
+
+    def make_scenario(self, seed: int) -> Scenario:
+        return Scenario(seed, jobs=30, faults=6, large_jobs=3, end_s=150.0)
+
+    # Guards against steps that a bounded pass forgets, or starts twice, and against
+    # records of many steps that a successor does not take over.
+    def test_jobs_of_many_steps_end_under_faults(self) -> None:
+        with mock.patch.object(scheduler, "MAX_PASS_WORK", 400):
+            for seed in self.SEEDS:
+                with self.subTest(seed=seed):
+                    World(self.make_scenario(seed)).run()
+
+    # Guards against scenarios in which no pass ends early.
+    def test_steps_that_no_later_pass_considers_are_detected(self) -> None:
+        class Forgetful(set[object]):
+            def clear(self) -> None:
+                """Keep the steps of all rounds."""
+
+        def make_planner(settings: PlannerSettings) -> Planner:
+            planner = Planner(settings)
+            cast("Any", planner)._scheduler._finished_steps = Forgetful()
+            return planner
+
+        with self.assertRaises(AssertionError):
+            for seed in self.SEEDS:
+                World(self.make_scenario(seed), make_planner).run()
+
+
 if __name__ == "__main__":
     unittest.main()
