--- a/bench/job_shapes.py
+++ b/bench/job_shapes.py
@@ -1,6 +1,6 @@
 """The longest stretch of work of a planner, by the shape of the jobs.
 
-``python -m bench.job_shapes`` runs one planner in this process, without a network, whose
+``python -m bench.job_shapes`` runs one planner in this process, without a network. Its
 store acknowledges at once. It exits with 1 if a stretch is longer than the target.
 """
 
@@ -9,7 +9,6 @@
 import gc
 import sys
 import time
-from collections import defaultdict
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -81,9 +80,7 @@
     calls: int = 0
     stored_bytes: int = 0
     value_by_key: dict[str, bytes] = field(default_factory=dict)
-    longest_by_kind: dict[str, float] = field(
-        default_factory=lambda: defaultdict(float)
-    )
+    longest_by_kind: dict[str, float] = field(default_factory=dict)
     planner: Planner = field(init=False)
 
     def __post_init__(self) -> None:
@@ -94,7 +91,8 @@
         began = time.perf_counter()
         yield
         took_s = time.perf_counter() - began
-        self.longest_by_kind[kind] = max(self.longest_by_kind[kind], took_s)
+        longest_s = self.longest_by_kind.get(kind, 0.0)
+        self.longest_by_kind[kind] = max(longest_s, took_s)
 
     def begin_term(self) -> None:
         """Let a successor load the records."""
