planner: gangs ask for advice while the fleet is full

Cause, found by reading: a gang for whose size a pass had found no room was passed over before it could ask for advice, once three others were drained for. It then waited for the advice when there was room. Steps that are no gangs were not affected. Change: a step that has no advice yet is not passed over. Result: the new test failed before, [] for the one request expected, and holds now.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/scheduler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/scheduler.py
@@ -222,7 +222,9 @@
                 f" allows {allowed} more, but {needed} are needed"
             )
             return allowed < needed
-        if not suspects and self._is_known_to_be_full(step, queue):
+        has_advice = advice is None or bool(advice.is_recommended_by_worker)
+        # Advice takes time, and is asked for while the step waits for room.
+        if has_advice and not suspects and self._is_known_to_be_full(step, queue):
             self.skipped_steps += 1
             return advice is None
         self.considered_steps += 1
@@ -249,9 +251,6 @@
         if self._has_workers_of_its_own(step):
             return False
         if not spec.gang:
-            advice = self._state.advice_requests.find(step.id) if queue.advice else None
-            if advice is not None and not advice.is_recommended_by_worker:
-                return False  # it asks for advice while it waits for room
             is_full = self._room.is_full(queue.service, spec)
             if is_full:
                 self.reason_by_step[step.id] = "no worker has room for another task"
--- a/tests/planner/test_many_steps.py
+++ b/tests/planner/test_many_steps.py
@@ -11,13 +11,14 @@
 from unittest import mock
 
 from jacinthloom_core.model.resources import Resources
-from jacinthloom_core.planner import events, scheduler
+from jacinthloom_core.planner import effects, events, scheduler
 from jacinthloom_core.planner.fleet import Worker
 from jacinthloom_core.planner.intake import MAX_OPENED_TASKS
 from jacinthloom_core.planner.jobs import Job, StepRun, TaskState
 from jacinthloom_core.planner.paths import estimate_remaining_paths_s
 from jacinthloom_core.planner.placement import FreeCapacity
 from jacinthloom_core.planner.planner import Planner
+from jacinthloom_core.planner.rules import AdvicePolicy, Queue
 from jacinthloom_core.planner.run_times import RunTimes
 from jacinthloom_core.planner.specs import JobSpec, StepSpec
 from jacinthloom_core.planner.state import PlannerSettings
@@ -26,12 +27,14 @@
 
 from .test_takeover import (
     ENTRY,
+    RULES,
     Store,
     answer_poll,
     make_planner,
     store_batches,
 )
 
+ADVICE = AdvicePolicy(0.01, 0.0, 2.0)
 STEP = StepSpec(1, Resources(100, 100), 1.0)
 STEPS = 300
 WIDE = JobSpec("a" * 16, "q", "t", "text", (STEP,) * STEPS, 0)
@@ -211,6 +214,23 @@
         few = 4 * (scheduler.MAX_DRAINED_GANGS + 1) * self.WORKERS
         self.assertLessEqual(self.count_looks(), few)
 
+    # Guards against gangs that ask for advice only once there is room: they would wait
+    # for the advice then, while other steps take the room.
+    def test_gangs_ask_for_advice_while_the_fleet_is_full(self) -> None:
+        gang = replace(STEP, count=3, gang=True)
+        advised = Queue("a", "h", "/a/", "service", 1, 2, 9.0, 9.0, False, ADVICE)
+        queues = RULES.queue_by_name | {"a": advised}
+        rules = replace(RULES, version=2, queue_by_name=queues)
+        self.planner.handle(events.RulesChanged(self.now, rules))
+        self.submit(STEP)
+        self.submit(*[gang] * (scheduler.MAX_DRAINED_GANGS + 1))
+        self.planner.handle(events.MemberJoined(self.now, "m"))
+        self.answer_polls()
+        spec = replace(WIDE, id="f" * 16, queue="a", steps=(gang,))
+        emitted = self.planner.handle(events.JobSubmitted(self.now + 1, 99, spec))
+        requests = [e for e in emitted if isinstance(e, effects.RequestAdvice)]
+        self.assertEqual([request.step.job for request in requests], [spec.id])
+
     # Guards against tasks that are placed on a worker which was reserved in the same
     # pass, for suspects or for a gang, as their step shares an older look at it.
     def test_free_capacity_is_not_shared_once_a_worker_is_reserved(self) -> None:
