--- a/tests/test_state_machine.py
+++ b/tests/test_state_machine.py
@@ -119,5 +119,38 @@
 )
 
 
+class FoundSequenceTest(unittest.TestCase):
+    # Guards against an attempt of a request that starts late, while a later attempt of
+    # it runs on another worker.
+    def test_late_attempt_does_not_start_beside_a_later_one(self) -> None:
+        fleet = Fleet()
+        fleet.begin(seed=34724, members=7)
+        fleet.ask_once()
+        fleet.ask()
+        fleet.blind(gap=1.0)
+        fleet.bring_zones_in()
+        fleet.drain_worker()
+        fleet.spoil_worker()
+        fleet.change_limit()
+        fleet.stop_log(gap=3.0)
+        fleet.stop_log(gap=1.0)
+        fleet.ask()
+        fleet.change_limit()
+        fleet.cut(gap=0.1)
+        fleet.spoil_worker()
+        fleet.spoil_worker()
+        fleet.ask_once()
+        fleet.race_operators()
+        fleet.stop_log(gap=1.0)
+        fleet.ask_once()
+        fleet.blind(gap=11.0)
+        fleet.drain_worker()
+        fleet.take_zone_out()
+        fleet.cut(gap=0.5)
+        fleet.submit()
+        fleet.ask()
+        fleet.wait(gap=11.0)
+
+
 if __name__ == "__main__":
     unittest.main()
