planner: each pass begins with the steps of lowest rank

Cause: a step that a round of passes had considered was passed over until the round ended. Gangs that wait were considered in each pass, and could use all of its work, so that the round did not end and quick steps waited in vain with the advice that they had asked for. Change: the first half of a pass goes to the steps of lowest rank, whatever the round has considered, and the second half to those that it has not. Gangs count like other steps.

--- a/packages/jacinthloom-core/src/jacinthloom_core/planner/scheduler.py
+++ b/packages/jacinthloom-core/src/jacinthloom_core/planner/scheduler.py
@@ -39,7 +39,8 @@
 
 MAX_PASS_WORK = 40_000
 """Maximum work of one pass. One unit takes about a microsecond, and the planner has to
-renew its claim between two passes."""
+renew its claim between two passes. The first half goes to the steps of lowest rank, the
+second to those that this round of passes has not considered yet."""
 
 WORK_PER_STEP = 10
 WORK_PER_PLACEMENT = 40
@@ -93,8 +94,8 @@
     def run_pass(self, now: float) -> None:
         """Place the tasks that fit, and request the advice that is missing.
 
-        A pass ends early if there is too much to do. The next one goes on with the
-        steps that this round of passes has not considered, and with new ones.
+        A pass ends early if there is too much to do. It begins with the steps of lowest
+        rank, and goes on with those that this round of passes has not considered.
         """
         self.reason_by_step = {}
         self.considered_steps = self.skipped_steps = 0
@@ -135,16 +136,16 @@
         """
         wall_ms = self._state.wall_ms
         for step in group.steps:
-            if step.id in self._finished_steps:
-                continue
-            if self._measure_work(placements) >= MAX_PASS_WORK:
+            work = self._measure_work(placements)
+            if work >= MAX_PASS_WORK:
                 return False
+            if work >= MAX_PASS_WORK / 2 and step.id in self._finished_steps:
+                continue
             rank = self._order.rank(step, group.queue, wall_ms)
             step.slack_s = step.latest_start_s - wall_ms / 1000
             is_blocked = self._schedule_step(step, group.queue, rank, usable, now)
-            if not step.spec.gang:
-                self._finished_steps.add(step.id)
-            elif rank[0] not in HOPELESS_LEVELS:
+            self._finished_steps.add(step.id)
+            if step.spec.gang and rank[0] not in HOPELESS_LEVELS:
                 self._reserve_limit(step, now)
             if is_blocked and not self._state.crashed_task_by_id:
                 break
--- a/tests/test_state_machine.py
+++ b/tests/test_state_machine.py
@@ -108,6 +108,7 @@
 
 
 FleetTest = Fleet.TestCase
+FleetTest.__module__, FleetTest.__qualname__ = __name__, "FleetTest"
 FleetTest.settings = settings(
     max_examples=25,
     stateful_step_count=40,
